--- /dev/null
+++ b/thymedeck/__init__.py
@@ -0,0 +1,1 @@
+"""thymedeck: a balancer for long-lived connections."""
--- /dev/null
+++ b/thymedeck/benchlink.py
@@ -0,0 +1,281 @@
+"""Hosts many balancers on the simulator's wire: JSON lines in, JSON lines out.
+
+Here wire names become ours, microseconds become tenths of a millisecond (budgets down, waits up), and ids
+become small indices. Balancers share nothing but the process.
+"""
+
+import sys
+import traceback
+from typing import Any, BinaryIO
+
+import msgspec
+
+from . import interface as own
+from . import wire
+from .policy import Balancer
+
+EFFECTS = {
+    "pure": own.Effect.REPEATABLE,
+    "token": own.Effect.REFERENCED,
+    "side_effect": own.Effect.ONCE_ONLY,
+}
+SCOPES = {"all": own.Scope.ALL, "zone": own.Scope.ZONE, "cell": own.Scope.CELL}
+STATES = {"ready": own.State.READY, "draining": own.State.DRAINING, "gone": own.State.GONE}
+LIST_KINDS = {
+    "INCREMENTAL": own.ListKind.CHANGES,
+    "FULL": own.ListKind.WHOLE,
+    "SAVED": own.ListKind.SAVED,
+    "FAILED": own.ListKind.FAILED,
+}
+OUTCOMES = {
+    "OK": own.Outcome.ENDED,
+    "INTERNAL": own.Outcome.ERROR,
+    "RESOURCE_EXHAUSTED": own.Outcome.FULL,
+    "DEADLINE_EXCEEDED": own.Outcome.OVERDUE,
+    "UNAVAILABLE": own.Outcome.UNREACHABLE,
+    "ABORTED": own.Outcome.RESET,
+    "CANCELLED": own.Outcome.CANCELLED,
+    "TOO_LATE": own.Outcome.UNSENT,
+}
+NOTE_LOAD, NOTE_DELAY = 1, 2
+NO_AIM = 10_000_000.0
+
+
+class RawBatch(msgspec.Struct):
+    wall_us: int
+    input: list[msgspec.Raw]
+
+
+class Batch(msgspec.Struct):
+    wall_us: int
+    input: list[wire.AnyEvent]
+
+
+KNOWN = frozenset(kind.__struct_config__.tag for kind in wire.AnyEvent.__args__)
+decode_batch = msgspec.json.Decoder(Batch).decode
+decode_raw = msgspec.json.Decoder(RawBatch).decode
+decode_heading = msgspec.json.Decoder(wire.Heading).decode
+decode_event = msgspec.json.Decoder(wire.AnyEvent).decode
+encode = msgspec.json.Encoder().encode
+
+
+def down(us: float) -> int:
+    return int(us // 100)
+
+
+def up(us: float) -> int:
+    return int(-(-us // 100))
+
+
+def deployment(env: wire.Env) -> own.Deployment:
+    aims = env.extra.message_aim_us
+    listeners = tuple(
+        own.Listener(
+            handshake_target=down(li.handshake_target_us),
+            # An effect or a scope that is not known is taken for the strictest.
+            effect=EFFECTS.get(li.effect, own.Effect.ONCE_ONLY),
+            scope=SCOPES.get(li.dedup_scope, own.Scope.CELL),
+            memory=down(li.memory_span_us),
+            utility=li.utility,
+            message_aim=down(aims[at] if at < len(aims) else NO_AIM),
+        )
+        for at, li in enumerate(env.listeners)
+    )
+    limits, contract = env.limits, env.contract
+    return own.Deployment(
+        listeners=listeners,
+        member_parts=tuple(member.portion for member in env.realms),
+        over_share_utility=env.overage_utility,
+        zone=env.zone,
+        balancers=max(env.replicas_of_me, 1),
+        tick=up(env.tick_us),
+        connect_timeout=up(limits.dial_timeout_us),
+        max_dials=limits.max_dials,
+        may_probe=limits.probes and "x0" in env.report.fields,
+        come_back_max=down(limits.max_retry_after_us) if limits.retry_after else 0,
+        list_on_request=env.discovery == "on_request",
+        ask_within=down(contract.ask_within_us),
+        cold_share=contract.start_capacity,
+        warm_after=up(contract.warm_after_us),
+        fall_multiple=contract.overload_factor,
+        fall_window=up(contract.overload_for_us),
+        present_load=env.extra.tells_load,
+        passes_through=env.extra.mode == "pass",
+        crossing_price=env.prices.cross_zone,
+        probe_price=env.prices.probe,
+        move_price=env.prices.moves,
+    )
+
+
+class Link:
+    """One balancer's side of the wire, from its start to its end."""
+
+    def __init__(self, instance: int, event: wire.Provision) -> None:
+        self.instance = instance
+        self.balancer = Balancer(event.rng_seed, deployment(event.env))
+        fields = event.env.report.fields
+        self.pressure_at = fields.index("x0") if "x0" in fields else -1
+        self.server_index: dict[int, int] = {}
+        self.server_ids: list[int] = []
+        self.sess_index: dict[int, int] = {}
+        self.sess_ids: dict[int, int] = {}
+        self.next_sess = 0
+
+    def server(self, wire_id: int) -> int:
+        index = self.server_index.get(wire_id)
+        if index is None:
+            index = self.server_index[wire_id] = len(self.server_ids)
+            self.server_ids.append(wire_id)
+        return index
+
+    def new_sess(self, wire_id: int) -> int:
+        index = self.next_sess
+        self.next_sess += 1
+        self.sess_index[wire_id] = index
+        self.sess_ids[index] = wire_id
+        return index
+
+    def pressure(self, stats: list[float] | None) -> float | None:
+        if stats is None or not 0 <= self.pressure_at < len(stats):
+            return None
+        return stats[self.pressure_at]
+
+    def take(self, now_us: int, event: wire.AnyEvent, output: list[dict[str, Any]]) -> None:
+        told = self.translate(event)
+        if told is None:
+            return
+        actions = self.balancer.handle(now_us // 100, told)
+        for action in actions:
+            output.append(self.spell(action))
+        wire_id = getattr(event, "req", None)
+        if wire_id is not None:
+            index = self.sess_index.get(wire_id)
+            if index is not None and index not in self.balancer.sessions:
+                del self.sess_index[wire_id]
+                del self.sess_ids[index]
+
+    def translate(self, event: wire.AnyEvent) -> own.Event | None:
+        """The event in our words, or None where it is about something no longer held."""
+        match event:
+            case wire.Accept():
+                return own.SessionCame(
+                    self.new_sess(event.req), event.type, event.account, down(event.budget_us),
+                    event.work_us, event.partition_key, event.mid_flow,
+                )  # fmt: skip
+            case wire.AlreadyOpen():
+                return own.SessionStands(
+                    self.new_sess(event.req), event.type, event.account, event.work_us,
+                    event.partition_key, self.server(event.server),
+                )  # fmt: skip
+            case wire.Wake():
+                timer, _, index = event.label.partition(":")
+                return own.TimerDue(own.Timer(int(timer)), int(index))
+            case wire.Registry():
+                return self.translate_list(event)
+            case wire.FromPeer():
+                return None
+            case wire.Hangup():
+                sess = self.sess_index.get(event.req)
+                return None if sess is None else own.SessionLeft(sess)
+        server = self.server_index.get(event.server)
+        if server is None:
+            return None
+        if isinstance(event, wire.Echo):
+            return own.Probed(
+                server, down(event.duration_us), event.disposition == "OK", self.pressure(event.stats)
+            )
+        sess = self.sess_index.get(event.req)
+        if sess is None:
+            return None
+        match event:
+            case wire.HeadReceived():
+                return own.Established(sess, server, event.copy, down(event.duration_us))
+            case wire.ClosedAttempt():
+                outcome = OUTCOMES.get(event.disposition, own.Outcome.UNKNOWN)
+                return own.DialEnded(
+                    sess, server, event.copy, down(event.duration_us), outcome, event.complete,
+                    self.pressure(event.stats),
+                )  # fmt: skip
+            case wire.UpdateOf(what=1):
+                return own.LoadTold(sess, event.amount)
+            case wire.UpdateOf(what=2):
+                return own.DelayTold(sess, server, int(event.amount * 10))
+        return None
+
+    def translate_list(self, event: wire.Registry) -> own.ServerList | None:
+        kind = LIST_KINDS.get(event.how)
+        if kind is None:
+            return None
+        entries = [
+            own.Entry(
+                self.server(entry.server), entry.region_part, entry.generation_hw, entry.group,
+                STATES.get(entry.readiness, own.State.DRAINING), down(entry.boot_time_us),
+            )
+            for entry in event.members
+        ]  # fmt: skip
+        return own.ServerList(kind, entries)
+
+    def spell(self, action: own.Action) -> dict[str, Any]:
+        head = {"i": self.instance}
+        match action:
+            case own.Dial():
+                return {
+                    "t": "ISSUE", **head, "req": self.sess_ids[action.sess],
+                    "server": self.server_ids[action.server], "limit_us": action.limit * 100,
+                }  # fmt: skip
+            case own.SetTimer():
+                label = f"{action.timer.value}:{action.index}"
+                return {"t": "SCHEDULE", **head, "label": label, "after_us": action.after * 100}
+            case own.Refuse():
+                refused = {"t": "TURN_AWAY", **head, "req": self.sess_ids[action.sess]}
+                return refused | {"come_back_us": action.come_back * 100} if action.come_back else refused
+            case own.TearDown():
+                return {"t": "LOSE", **head, "req": self.sess_ids[action.sess]}
+            case own.Move():
+                return {"t": "REDIRECT", **head, "req": self.sess_ids[action.sess]}
+            case own.Probe():
+                return {"t": "PROBE", **head, "server": self.server_ids[action.server]}
+            case own.FollowList():
+                return {"t": "LISTEN", **head, "want": True}
+        return {"t": "REMARK", **head, "note_text": action.text}
+
+
+def read_batch(line: bytes) -> Batch:
+    try:
+        return decode_batch(line)
+    except msgspec.ValidationError:
+        # Kinds of events that are not known here are skipped; anything else wrong is raised again.
+        raw = decode_raw(line)
+        known = [one for one in raw.input if decode_heading(one).t in KNOWN]
+        return Batch(raw.wall_us, [decode_event(one) for one in known])
+
+
+def serve(lines: BinaryIO, replies: BinaryIO) -> int:
+    links: dict[int, Link] = {}
+    for number, line in enumerate(lines, 1):
+        try:
+            batch = read_batch(line)
+        except msgspec.MsgspecError as wrong:
+            print(f"line {number}: {wrong}", file=sys.stderr)
+            return 1
+        output: list[dict[str, Any]] = []
+        for event in batch.input:
+            instance = event.i
+            try:
+                if isinstance(event, wire.Provision):
+                    links[instance] = Link(instance, event)
+                elif isinstance(event, wire.Kill):
+                    links.pop(instance, None)
+                elif instance in links:
+                    links[instance].take(batch.wall_us, event, output)
+            except Exception as fault:
+                traceback.print_exc(file=sys.stderr)
+                links.pop(instance, None)
+                output.append({"t": "PANIC", "i": instance, "note_text": f"{type(fault).__name__}: {fault}"})
+        replies.write(encode({"output": output}) + b"\n")
+        replies.flush()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(serve(sys.stdin.buffer, sys.stdout.buffer))
--- /dev/null
+++ b/thymedeck/policy.py
@@ -0,0 +1,521 @@
+"""Every decision of thymedeck; read it top to bottom.
+
+Make one Balancer(seed, deployment) for each balancer process, then call handle(now, event) for whatever
+happens and carry out the actions it returns, in order. `now` is the clock in tenths of a millisecond. The
+types of events and actions are in thymedeck/interface.py; a session stays in `sessions` while it is held.
+"""
+
+import random
+from collections import deque
+from collections.abc import Callable
+
+from .interface import (
+    NEVER_RAN,
+    Action,
+    DelayTold,
+    Deployment,
+    Dial,
+    DialEnded,
+    Effect,
+    Entry,
+    Established,
+    Event,
+    FollowList,
+    ListKind,
+    LoadTold,
+    Log,
+    Outcome,
+    Probe,
+    Probed,
+    Refuse,
+    Scope,
+    ServerList,
+    SessionCame,
+    SessionLeft,
+    SessionStands,
+    SetTimer,
+    State,
+    TearDown,
+    Timer,
+    TimerDue,
+)
+
+SECOND = 10_000
+HISTORY = 100  # connections whose mean stands in for a load not yet told (design page)
+FADE = 30 * SECOND  # a newcomer's head start of load is gone after this (design page)
+RECENT = 8  # set-ups remembered of each server
+TRIAL_WAIT = SECOND  # a sick server gets its first single trial after about this
+NOTE_LIFE = 25_000  # notes on slow messages come every second; two missed ones make a third unlikely
+PROBE_EVERY = SECOND  # servers are probed about this often
+REPORT_LIFE = 3 * SECOND  # a report older than this is not trusted
+PLANNED_DIALS = 3  # dials for which the time to the dial timeout is divided
+
+
+class Server:
+    """A server as this balancer alone has seen it."""
+
+    __slots__ = (
+        "cell", "delay", "delay_at", "dials_out", "full_until", "handicap", "handicap_at", "index", "kind",
+        "lacking", "pressure", "pressure_at", "recent", "sent", "sick", "started", "state", "told",
+        "trial_at", "trials", "zone",
+    )  # fmt: skip
+
+    def __init__(self, entry: Entry) -> None:
+        self.index = entry.server
+        self.zone = entry.zone
+        self.kind = entry.kind
+        self.cell = entry.cell
+        self.state = entry.state
+        self.started = entry.started
+        self.told = 0.0  # summed load of own standing connections whose load is known
+        self.lacking = 0  # own standing connections whose load is not known yet
+        self.handicap = 0.0
+        self.handicap_at = 0
+        self.sent: deque[tuple[int, float]] = deque()  # what went to it lately while cold
+        self.forget()
+
+    def forget(self) -> None:
+        self.recent: deque[bool] = deque(maxlen=RECENT)  # set-ups: accepted or not
+        self.sick = False
+        self.trial_at = 0
+        self.trials = 0
+        self.dials_out = 0
+        self.full_until = 0
+        self.delay = 0
+        self.delay_at = -NOTE_LIFE
+        self.pressure = 0.0
+        self.pressure_at = -REPORT_LIFE
+
+
+class Session:
+    __slots__ = (
+        "deadline", "dials", "dialled_at", "finished", "listener", "load", "may_have_run", "ran_at", "server",
+        "standing", "subject", "tried",
+    )  # fmt: skip
+
+    def __init__(self, listener: int, deadline: int, load: float | None, subject: str | None) -> None:
+        self.listener = listener
+        self.deadline = deadline
+        self.load = load  # None: not told yet, counts the mean
+        self.subject = subject
+        self.dials = 0
+        self.dialled_at = 0
+        self.tried: list[int] = []
+        self.server: Server | None = None  # where its predicted or told load is counted
+        self.may_have_run: Server | None = None  # first server that may have run it
+        self.ran_at = 0
+        self.standing = False
+        self.finished = False
+
+
+class Balancer:
+    def __init__(self, seed: int, deployment: Deployment) -> None:
+        self.site = deployment
+        chance = random.Random(seed)
+        self.uniform = chance.uniform
+        self.choice = chance.choice
+        self.now = 0
+        self.out: list[Action] = []
+        self.servers: dict[int, Server] = {}
+        self.ready: list[Server] = []
+        self.sessions: dict[int, Session] = {}
+        self.figures: deque[float] = deque(maxlen=HISTORY)  # loads of recent connections, on the one scale
+        self.homes: dict[str, int] = {}  # subject -> server of a standing session, for packets that move
+        self.list_failures = 0
+        self.list_asked = False
+        self.doubt = False
+        self.handlers: dict[type, Callable[[Event], None]] = {
+            ServerList: self.on_list,
+            SessionCame: self.on_came,
+            SessionStands: self.on_stands,
+            SessionLeft: self.on_left,
+            Established: self.on_established,
+            DialEnded: self.on_dial_ended,
+            LoadTold: self.on_load,
+            DelayTold: self.on_delay,
+            Probed: self.on_probed,
+            TimerDue: self.on_timer,
+        }
+
+    def handle(self, now: int, event: Event) -> list[Action]:
+        self.now = now
+        self.out = []
+        self.handlers[type(event)](event)
+        return self.out
+
+    # The list of servers
+
+    def on_list(self, event: ServerList) -> None:
+        site = self.site
+        if event.kind is ListKind.SAVED:
+            if site.list_on_request:
+                # Spread: balancers that come back together must not queue up at the list together.
+                self.set_timer(Timer.LIST, 0, self.uniform(0, site.ask_within / 20))
+        elif event.kind is ListKind.FAILED:
+            self.list_failures += 1
+            base = site.ask_within / 20 * 2 ** min(self.list_failures, 3)
+            self.set_timer(Timer.LIST, 0, self.uniform(base / 2, base))
+            if self.list_failures == 1:
+                self.log("list lost; going on with the last one")
+            return
+        elif self.list_failures:
+            self.log(f"list back after {self.list_failures} failures")
+            self.list_failures = 0
+        first = not self.servers
+        newcomer_load = self.mean_sum()
+        for entry in event.entries:
+            self.take_entry(entry, 0.0 if first else newcomer_load)
+        if event.kind is not ListKind.CHANGES:
+            named = {entry.server for entry in event.entries}
+            for server in self.servers.values():
+                if server.index not in named:
+                    server.state = State.GONE
+        self.ready = [s for s in self.servers.values() if s.state is State.READY]
+
+    def take_entry(self, entry: Entry, newcomer_load: float) -> None:
+        server = self.servers.get(entry.server)
+        if server is None:
+            server = self.servers[entry.server] = Server(entry)
+            self.burden(server, newcomer_load)
+            if self.site.may_probe:
+                self.set_timer(Timer.PROBE, server.index, self.uniform(0, PROBE_EVERY))
+            return
+        if entry.started > server.started:
+            # Guards against a restarted server that draws a rush because its sum was emptied.
+            server.forget()
+            self.burden(server, newcomer_load)
+        server.started = entry.started
+        server.state = entry.state
+        server.zone = entry.zone
+        server.kind = entry.kind
+        server.cell = entry.cell
+
+    def follow_list(self) -> None:
+        self.out.append(FollowList())
+
+    # The sums
+
+    def mean_load(self) -> float:
+        figures = self.figures
+        return sum(figures) / len(figures) if figures else 1.0
+
+    def own_sum(self, server: Server, mean: float) -> float:
+        total = server.told + server.lacking * mean
+        if server.handicap:
+            left = FADE - (self.now - server.handicap_at)
+            if left > 0:
+                total += server.handicap * left / FADE
+            else:
+                server.handicap = 0.0
+        return total
+
+    def mean_sum(self) -> float:
+        if not self.ready:
+            return 0.0
+        mean = self.mean_load()
+        return sum(s.told + s.lacking * mean for s in self.ready) / len(self.ready)
+
+    def burden(self, server: Server, load: float) -> None:
+        """Adds load that fades: a newcomer's start, or what a reset or failure has taken off the sum."""
+        left = FADE - (self.now - server.handicap_at)
+        server.handicap = load + (server.handicap * left / FADE if left > 0 else 0.0)
+        server.handicap_at = self.now
+
+    def join(self, sess: Session, server: Server) -> None:
+        sess.server = server
+        if sess.load is None:
+            server.lacking += 1
+        else:
+            server.told += sess.load
+
+    def leave(self, sess: Session) -> None:
+        server = sess.server
+        if server is None:
+            return
+        if sess.load is None:
+            server.lacking -= 1
+        else:
+            server.told = max(server.told - sess.load, 0.0)
+        sess.server = None
+
+    def on_load(self, event: LoadTold) -> None:
+        sess = self.sessions.get(event.sess)
+        if sess is None or not self.site.present_load:
+            return
+        if sess.load is None:
+            self.figures.append(event.load)
+        server = sess.server
+        self.leave(sess)
+        sess.load = event.load
+        if server is not None:
+            self.join(sess, server)
+
+    # Sessions
+
+    def on_came(self, event: SessionCame) -> None:
+        load = None
+        if not self.site.present_load and event.hint is not None:
+            load = event.hint
+            self.figures.append(load)
+        sess = Session(event.listener, self.now + event.budget, load, event.subject)
+        self.sessions[event.sess] = sess
+        if event.mid_flow and event.subject is not None:
+            home = self.servers.get(self.homes.get(event.subject, -1))
+            if home is not None and home.state is not State.GONE:
+                self.dial(event.sess, sess, home)
+                return
+        self.place(event.sess, sess)
+
+    def on_stands(self, event: SessionStands) -> None:
+        load = None if self.site.present_load else event.hint
+        sess = Session(event.listener, 0, load, event.subject)
+        sess.dials = 1
+        sess.standing = True
+        self.sessions[event.sess] = sess
+        server = self.servers.get(event.server)
+        if server is not None:
+            self.join(sess, server)
+            if self.site.passes_through and event.subject is not None:
+                self.homes[event.subject] = server.index
+
+    def on_left(self, event: SessionLeft) -> None:
+        sess = self.sessions.get(event.sess)
+        if sess is None:
+            return
+        self.leave(sess)
+        sess.finished = True  # its dial is still out and will end; then the session is let go
+
+    def place(self, index: int, sess: Session) -> None:
+        """Dials the best server, or gives the final answer at once when no dial can help."""
+        left = sess.deadline - self.now
+        if sess.dials < self.site.max_dials and left > 2 * self.site.tick and self.may_repeat(sess):
+            server = self.pick(sess)
+            if server is not None:
+                self.dial(index, sess, server)
+                return
+        self.give_up(index, sess)
+
+    def may_repeat(self, sess: Session) -> bool:
+        if sess.may_have_run is None:
+            return True
+        listener = self.site.listeners[sess.listener]
+        if listener.effect is Effect.REPEATABLE:
+            return True
+        if listener.effect is Effect.ONCE_ONLY:
+            return False
+        return self.now - sess.ran_at <= listener.memory
+
+    def give_up(self, index: int, sess: Session) -> None:
+        listener = self.site.listeners[sess.listener]
+        harmless = (
+            sess.may_have_run is None
+            or listener.effect is Effect.REPEATABLE
+            or (listener.effect is Effect.REFERENCED and listener.scope is Scope.ALL)
+        )
+        if harmless:
+            most = self.site.come_back_max
+            self.out.append(Refuse(index, int(self.uniform(most / 4, most)) if most else 0))
+        else:
+            self.out.append(TearDown(index))
+        del self.sessions[index]
+
+    def dial(self, index: int, sess: Session, server: Server) -> None:
+        left = sess.deadline - self.now - 2 * self.site.tick
+        planned = min(PLANNED_DIALS, self.site.max_dials) - sess.dials
+        limit = left if planned <= 1 else max(left // planned, min(left, self.site.connect_timeout))
+        sess.dials += 1
+        sess.dialled_at = self.now
+        sess.tried.append(server.index)
+        self.join(sess, server)
+        server.dials_out += 1
+        if server.sick:
+            server.trial_at = self.trial_time(server)
+        if self.is_cold(server):
+            server.sent.append((self.now, self.mean_load() if sess.load is None else sess.load))
+        self.out.append(Dial(index, server.index, max(limit, 1)))
+
+    def on_established(self, event: Established) -> None:
+        sess = self.sessions.get(event.sess)
+        server = self.servers[event.server]
+        self.set_up_went(server, True)
+        if sess is None:
+            return
+        sess.standing = True
+        if self.site.passes_through and sess.subject is not None:
+            self.homes[sess.subject] = server.index
+
+    def on_dial_ended(self, event: DialEnded) -> None:
+        server = self.servers[event.server]
+        if event.pressure is not None:
+            self.take_report(server, event.pressure)
+        sess = self.sessions.get(event.sess)
+        if sess is None:
+            return
+        outcome = event.outcome
+        lost = self.mean_load() if sess.load is None else sess.load
+        self.leave(sess)
+        if sess.standing:
+            if outcome not in (Outcome.ENDED, Outcome.CANCELLED):
+                # Guards against a server that resets its connections and so empties its sum.
+                self.burden(server, lost)
+            if self.site.passes_through and sess.subject is not None:
+                self.homes.pop(sess.subject, None)
+        elif outcome is not Outcome.ENDED and outcome is not Outcome.CANCELLED:
+            if outcome is Outcome.FULL:
+                server.dials_out -= 1
+                server.full_until = self.now + int(self.uniform(SECOND / 4, SECOND / 2))
+            elif outcome is Outcome.UNSENT:
+                server.dials_out -= 1
+            else:
+                self.burden(server, lost)
+                self.set_up_went(server, False, outcome is Outcome.UNREACHABLE)
+        else:
+            server.dials_out -= 1
+        if event.complete or sess.standing or sess.finished:
+            del self.sessions[event.sess]
+            return
+        if outcome not in NEVER_RAN and sess.may_have_run is None:
+            sess.may_have_run = server
+            sess.ran_at = sess.dialled_at
+        self.place(event.sess, sess)
+
+    # The pick
+
+    def pick(self, sess: Session) -> Server | None:
+        """The smallest own summed load among the servers that may be used; random among ties."""
+        now = self.now
+        mean = self.mean_load()
+        ahead = mean if sess.load is None else sess.load
+        best: list[Server] = []
+        best_key = (9, 0.0)
+        for server in self.ready:
+            if sess.may_have_run is not None and not self.drops_repeat(sess, server):
+                continue
+            if server.started and self.is_cold(server) and not self.cold_room(server, ahead):
+                continue
+            rank = 0
+            if sess.tried and server.index in sess.tried:
+                rank = 4
+            elif server.sick and (now < server.trial_at or server.dials_out):
+                rank = 3
+            elif server.full_until > now:
+                rank = 2
+            elif self.is_pressed(server):
+                rank = 1
+            if rank > best_key[0]:
+                continue
+            key = (rank, self.own_sum(server, mean))
+            if key < best_key:
+                best_key = key
+                best = [server]
+            elif key == best_key:
+                best.append(server)
+        if not best:
+            return None
+        return best[0] if len(best) == 1 else self.choice(best)
+
+    def drops_repeat(self, sess: Session, server: Server) -> bool:
+        listener = self.site.listeners[sess.listener]
+        ran = sess.may_have_run
+        if ran is None or listener.effect is not Effect.REFERENCED or listener.scope is Scope.ALL:
+            return True
+        if listener.scope is Scope.ZONE:
+            return server.zone == ran.zone
+        return server.cell == ran.cell
+
+    # Cold servers
+
+    def is_cold(self, server: Server) -> bool:
+        return server.started > 0 and self.now - server.started < self.site.warm_after
+
+    def cold_room(self, server: Server, load: float) -> bool:
+        """Whether this balancer's part of the cold server's budget has room for this load."""
+        site = self.site
+        sent = server.sent
+        while sent and sent[0][0] <= self.now - site.fall_window:
+            sent.popleft()
+        if not sent:
+            return True
+        warm = [s for s in self.ready if not self.is_cold(s)] or self.ready
+        mean = self.mean_load()
+        full = sum(s.told + s.lacking * mean for s in warm) / len(warm)
+        age = max(self.now - server.started, 0)
+        part = site.cold_share + (1 - site.cold_share) * age / site.warm_after
+        budget = site.fall_multiple * part * full * site.fall_window / site.warm_after
+        return sum(load for _, load in sent) + load <= budget
+
+    # Health
+
+    def set_up_went(self, server: Server, well: bool, unreachable: bool = False) -> None:
+        server.dials_out -= 1
+        recent = server.recent
+        recent.append(well)
+        if well:
+            if server.sick and (len(recent) < 2 or recent[-2]):
+                server.sick = False
+                server.trials = 0
+                recent.clear()
+                self.log(f"server {server.index} back, {self.count_sick()} still out")
+            return
+        if server.sick:
+            server.trials += 1
+            server.trial_at = self.trial_time(server)
+            return
+        failed = len(recent) - sum(recent)
+        if failed < 3 and not (len(recent) > 1 and not recent[-2]):
+            return
+        out = self.count_sick() + 1
+        if not unreachable and 2 * out > len(self.ready):
+            # Guards against shutting out the fleet for a fault of the link, the list or the store.
+            if not self.doubt:
+                self.doubt = True
+                self.log(f"most servers fail, {out} of {len(self.ready)}; none more taken out")
+            return
+        self.doubt = False
+        server.sick = True
+        server.trial_at = self.trial_time(server)
+        self.log(f"server {server.index} out: {failed} of {len(recent)} set-ups failed, {out} out")
+
+    def trial_time(self, server: Server) -> int:
+        wait = TRIAL_WAIT * 2 ** min(server.trials, 3)
+        return self.now + int(self.uniform(0.75 * wait, 1.25 * wait))
+
+    def count_sick(self) -> int:
+        return sum(s.sick for s in self.ready)
+
+    def is_pressed(self, server: Server) -> bool:
+        """The load cap: the server says it is full, or its messages are slow."""
+        if server.pressure >= 1 and self.now - server.pressure_at <= REPORT_LIFE:
+            return True
+        return server.delay > 0 and self.now - server.delay_at <= NOTE_LIFE
+
+    def on_delay(self, event: DelayTold) -> None:
+        server = self.servers[event.server]
+        aim = min(listener.message_aim for listener in self.site.listeners)
+        server.delay = event.delay if 3 * event.delay > aim else 0
+        server.delay_at = self.now
+
+    def on_probed(self, event: Probed) -> None:
+        if event.answered and event.pressure is not None:
+            self.take_report(self.servers[event.server], event.pressure)
+
+    def take_report(self, server: Server, pressure: float) -> None:
+        server.pressure = pressure
+        server.pressure_at = self.now
+
+    # Timers
+
+    def on_timer(self, event: TimerDue) -> None:
+        if event.timer is Timer.LIST:
+            self.follow_list()
+        elif event.timer is Timer.PROBE:
+            server = self.servers[event.index]
+            if server.state is not State.GONE:
+                self.out.append(Probe(server.index))
+            self.set_timer(Timer.PROBE, server.index, self.uniform(0.75, 1.25) * PROBE_EVERY)
+
+    def set_timer(self, timer: Timer, index: int, after: float) -> None:
+        self.out.append(SetTimer(timer, index, int(after)))
+
+    def log(self, text: str) -> None:
+        self.out.append(Log(text))
--- /dev/null
+++ b/thymedeck/wire.py
@@ -0,0 +1,170 @@
+"""The simulator's messages as they stand on the wire. Its names and units end in this file and benchlink."""
+
+from msgspec import Struct, field
+
+
+class Listener(Struct):
+    handshake_target_us: int
+    effect: str
+    utility: float
+    dedup_scope: str = "all"
+    memory_span_us: int = 0
+
+
+class Member(Struct):
+    portion: float = 0.0
+
+
+class Extra(Struct):
+    message_aim_us: list[float] = []
+    mode: str = "proxy"
+    tells_load: bool = False
+
+
+class Limits(Struct):
+    max_dials: int
+    dial_timeout_us: int = 0
+    probes: bool = False
+    retry_after: bool = False
+    max_retry_after_us: int = 0
+
+
+class Contract(Struct):
+    ask_within_us: int = 10_000_000
+    start_capacity: float = 1.0
+    warm_after_us: int = 0
+    overload_factor: float = 1.0
+    overload_for_us: int = 0
+
+
+class Report(Struct):
+    fields: list[str] = []
+
+
+class Prices(Struct):
+    cross_zone: float = 0.0
+    probe: float = 0.0
+    moves: float = 0.0
+
+
+class Env(Struct):
+    listeners: list[Listener]
+    limits: Limits
+    contract: Contract
+    tick_us: int
+    discovery: str = "pushed"
+    extra: Extra = field(default_factory=Extra)
+    realms: list[Member] = []
+    overage_utility: float = 1.0
+    prices: Prices = field(default_factory=Prices)
+    replicas_of_me: int = 1
+    report: Report = field(default_factory=Report)
+    zone: int = 0
+
+
+class Entry(Struct):
+    server: int
+    region_part: int = 0
+    generation_hw: int = 0
+    group: int = 0
+    readiness: str = "ready"
+    boot_time_us: int = 0
+
+
+class Provision(Struct, tag_field="t", tag="PROVISION"):
+    i: int
+    rng_seed: int
+    env: Env
+
+
+class Kill(Struct, tag_field="t", tag="KILL"):
+    i: int
+
+
+class Registry(Struct, tag_field="t", tag="REGISTRY"):
+    i: int
+    how: str
+    members: list[Entry] = []
+
+
+class Accept(Struct, tag_field="t", tag="ACCEPT"):
+    i: int
+    req: int
+    type: int
+    budget_us: int
+    account: int = 0
+    partition_key: str | None = None
+    work_us: float | None = None
+    mid_flow: bool = False
+
+
+class AlreadyOpen(Struct, tag_field="t", tag="ALREADY_OPEN"):
+    i: int
+    req: int
+    server: int
+    type: int
+    account: int = 0
+    partition_key: str | None = None
+    work_us: float | None = None
+
+
+class Hangup(Struct, tag_field="t", tag="HANGUP"):
+    i: int
+    req: int
+
+
+class HeadReceived(Struct, tag_field="t", tag="HEAD_RECEIVED"):
+    i: int
+    req: int
+    server: int
+    duration_us: int = 0
+    copy: int = 0
+
+
+class ClosedAttempt(Struct, tag_field="t", tag="CLOSED_ATTEMPT"):
+    i: int
+    req: int
+    server: int
+    disposition: str
+    duration_us: int = 0
+    copy: int = 0
+    complete: bool = False
+    stats: list[float] | None = None
+
+
+class UpdateOf(Struct, tag_field="t", tag="UPDATE_OF"):
+    i: int
+    req: int
+    server: int
+    what: int
+    amount: float
+
+
+class Echo(Struct, tag_field="t", tag="ECHO"):
+    i: int
+    server: int
+    disposition: str
+    duration_us: int = 0
+    stats: list[float] | None = None
+
+
+class Wake(Struct, tag_field="t", tag="WAKE"):
+    i: int
+    label: str
+
+
+class FromPeer(Struct, tag_field="t", tag="FROM_PEER"):
+    i: int
+
+
+AnyEvent = (
+    Provision | Kill | Registry | Accept | AlreadyOpen | Hangup | HeadReceived | ClosedAttempt | UpdateOf
+    | Echo | Wake | FromPeer
+)  # fmt: skip
+
+
+class Heading(Struct):
+    """What every event has, whatever its kind."""
+
+    t: str
+    i: int
