--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -111,6 +111,7 @@
 class Balancer:
     def __init__(self, seed: int, deployment: Deployment) -> None:
         self.site = deployment
+        self.shortest_aim = min(listener.message_aim for listener in deployment.listeners)
         chance = random.Random(seed)
         self.uniform = chance.uniform
         self.choice = chance.choice
@@ -290,7 +291,7 @@
         left = sess.deadline - self.now
         if sess.dials < self.site.max_dials and left > 2 * self.site.tick and self.may_repeat(sess):
             server = self.pick(sess)
-            if server is not None:
+            if server is not None and not (sess.dials == 0 and self.is_jammed(server)):
                 self.dial(index, sess, server)
                 return
         self.give_up(index, sess)
@@ -489,10 +490,15 @@
             return True
         return server.delay > 0 and self.now - server.delay_at <= NOTE_LIFE
 
+    def is_jammed(self, server: Server) -> bool:
+        """Past its cap so far that one more session would be served badly and spoil those that stand."""
+        if server.pressure >= 1 and self.now - server.pressure_at <= REPORT_LIFE:
+            return True
+        return server.delay > self.shortest_aim and self.now - server.delay_at <= NOTE_LIFE
+
     def on_delay(self, event: DelayTold) -> None:
         server = self.servers[event.server]
-        aim = min(listener.message_aim for listener in self.site.listeners)
-        server.delay = event.delay if 3 * event.delay > aim else 0
+        server.delay = event.delay if 3 * event.delay > self.shortest_aim else 0
         server.delay_at = self.now
 
     def on_probed(self, event: Probed) -> None:
