--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -48,7 +48,6 @@
 NOTE_LIFE = 25_000  # notes on slow messages come every second; two missed ones make a third unlikely
 PROBE_EVERY = SECOND  # servers are probed about this often
 REPORT_LIFE = 3 * SECOND  # a report older than this is not trusted
-CROSSING_WEIGHT = 10  # a server across zones counts as loaded (1 + this x the price of a crossing) times
 PLANNED_DIALS = 3  # dials for which the time to the dial timeout is divided
 
 
@@ -388,8 +387,6 @@
         now = self.now
         mean = self.mean_load()
         ahead = mean if sess.load is None else sess.load
-        zone = self.site.zone
-        dearer = 1 + CROSSING_WEIGHT * self.site.crossing_price
         best: list[Server] = []
         best_key = (9, 0.0)
         for server in self.ready:
@@ -408,11 +405,7 @@
                 rank = 1
             if rank > best_key[0]:
                 continue
-            total = self.own_sum(server, mean)
-            if server.zone != zone:
-                # Guards against paying for a crossing that spreads the load only a little better.
-                total = (total + ahead) * dearer
-            key = (rank, total)
+            key = (rank, self.own_sum(server, mean))
             if key < best_key:
                 best_key = key
                 best = [server]
