--- a/thymedeck/benchlink.py
+++ b/thymedeck/benchlink.py
@@ -72,6 +72,7 @@
     listeners = tuple(
         own.Listener(
             handshake_target=down(li.handshake_target_us),
+            dial_timeout=down(li.deadline_us),
             # An effect or a scope that is not known is taken for the strictest.
             effect=EFFECTS.get(li.effect, own.Effect.ONCE_ONLY),
             scope=SCOPES.get(li.dedup_scope, own.Scope.CELL),
--- a/thymedeck/interface.py
+++ b/thymedeck/interface.py
@@ -59,6 +59,7 @@
 @dataclass(slots=True, frozen=True)
 class Listener:
     handshake_target: int
+    dial_timeout: int
     effect: Effect
     scope: Scope
     memory: int
--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -24,6 +24,7 @@
     ListKind,
     LoadTold,
     Log,
+    Move,
     Outcome,
     Probe,
     Probed,
@@ -56,7 +57,8 @@
 
     __slots__ = (
         "cell", "delay", "delay_at", "dials_out", "full_until", "handicap", "handicap_at", "index", "kind",
-        "lacking", "pressure", "pressure_at", "recent", "sent", "sick", "started", "state", "told",
+        "lacking", "over", "pressure", "pressure_at", "recent", "relieved_at", "sent", "sick", "standing",
+        "started", "state", "told",
         "trial_at", "trials", "zone",
     )  # fmt: skip
 
@@ -71,6 +73,7 @@
         self.lacking = 0  # own standing connections whose load is not known yet
         self.handicap = 0.0
         self.handicap_at = 0
+        self.standing: dict[int, Session] = {}
         self.sent: deque[tuple[int, float]] = deque()  # what went to it lately while cold
         self.forget()
 
@@ -81,6 +84,8 @@
         self.trials = 0
         self.dials_out = 0
         self.full_until = 0
+        self.over = 0  # times in a row that it was told to be past its cap
+        self.relieved_at = -FADE
         self.delay = 0
         self.delay_at = -NOTE_LIFE
         self.pressure = 0.0
@@ -112,6 +117,7 @@
     def __init__(self, seed: int, deployment: Deployment) -> None:
         self.site = deployment
         self.shortest_aim = min(listener.message_aim for listener in deployment.listeners)
+        self.hung_delay = min(listener.dial_timeout for listener in deployment.listeners)
         chance = random.Random(seed)
         self.uniform = chance.uniform
         self.choice = chance.choice
@@ -276,6 +282,7 @@
         server = self.servers.get(event.server)
         if server is not None:
             self.join(sess, server)
+            server.standing[event.sess] = sess
             if self.site.passes_through and event.subject is not None:
                 self.homes[event.subject] = server.index
 
@@ -342,6 +349,7 @@
         if sess is None:
             return
         sess.standing = True
+        server.standing[event.sess] = sess
         if self.site.passes_through and sess.subject is not None:
             self.homes[sess.subject] = server.index
 
@@ -356,6 +364,7 @@
         lost = self.mean_load() if sess.load is None else sess.load
         self.leave(sess)
         if sess.standing:
+            server.standing.pop(event.sess, None)
             if outcome not in (Outcome.ENDED, Outcome.CANCELLED):
                 # Guards against a server that resets its connections and so empties its sum.
                 self.burden(server, lost)
@@ -500,6 +509,39 @@
         server = self.servers[event.server]
         server.delay = event.delay if 3 * event.delay > self.shortest_aim else 0
         server.delay_at = self.now
+        if self.now - server.pressure_at <= REPORT_LIFE and event.delay <= self.hung_delay:
+            return  # the report says better how much is too much
+        if event.delay <= self.shortest_aim:
+            server.over = 0
+        elif event.delay > self.hung_delay:
+            server.over += 1
+            self.relieve(server, 0.5, SECOND // 2)
+        else:
+            server.over += 1
+            self.relieve(server, 0.1, SECOND // 2)
+
+    def relieve(self, server: Server, share: float, pause: int) -> None:
+        """Last resort: moves own sessions off a server that stays past its cap while others have room."""
+        if server.over < 2 or self.now - server.relieved_at < pause:
+            return
+        if not any(
+            s is not server and not s.sick and not self.is_pressed(s) and s.full_until <= self.now
+            for s in self.ready
+        ):
+            return
+        room = share * server.told
+        moved = 0
+        for index, sess in sorted(server.standing.items(), key=lambda item: -(item[1].load or 0.0)):
+            if sess.load is not None and sess.load <= room:
+                room -= sess.load
+                moved += 1
+                self.out.append(Move(index))
+        if moved:
+            server.relieved_at = self.now
+            self.log(
+                f"server {server.index} past its cap, load {server.pressure:.2f}, message "
+                f"{server.delay / 10:.0f} ms: {moved} of {len(server.standing)} sessions moved"
+            )
 
     def on_probed(self, event: Probed) -> None:
         if event.answered and event.pressure is not None:
@@ -508,6 +550,11 @@
     def take_report(self, server: Server, pressure: float) -> None:
         server.pressure = pressure
         server.pressure_at = self.now
+        if pressure < 1:
+            server.over = 0
+        else:
+            server.over += 1
+            self.relieve(server, (pressure - 0.9) / pressure, REPORT_LIFE)
 
     # Timers
 
--- a/thymedeck/wire.py
+++ b/thymedeck/wire.py
@@ -5,6 +5,7 @@
 
 class Listener(Struct):
     handshake_target_us: int
+    deadline_us: int
     effect: str
     utility: float
     dedup_scope: str = "all"
