--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -522,7 +522,7 @@
 
     def relieve(self, server: Server, share: float, pause: int) -> None:
         """Last resort: moves own sessions off a server that stays past its cap while others have room."""
-        if server.over < 2 or self.now - server.relieved_at < pause:
+        if server.over < 1 or self.now - server.relieved_at < pause:
             return
         if not any(
             s is not server and not s.sick and not self.is_pressed(s) and s.full_until <= self.now
