--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -49,6 +49,7 @@
 NOTE_LIFE = 25_000  # notes on slow messages come every second; two missed ones make a third unlikely
 PROBE_EVERY = SECOND  # servers are probed about this often
 REPORT_LIFE = 3 * SECOND  # a report older than this is not trusted
+CAP = 0.75  # load over what a server can do above which it is passed over while others are below
 PLANNED_DIALS = 3  # dials for which the time to the dial timeout is divided
 
 
@@ -495,7 +496,7 @@
 
     def is_pressed(self, server: Server) -> bool:
         """The load cap: the server says it is full, or its messages are slow."""
-        if server.pressure >= 1 and self.now - server.pressure_at <= REPORT_LIFE:
+        if server.pressure >= CAP and self.now - server.pressure_at <= REPORT_LIFE:
             return True
         return server.delay > 0 and self.now - server.delay_at <= NOTE_LIFE
 
@@ -550,11 +551,11 @@
     def take_report(self, server: Server, pressure: float) -> None:
         server.pressure = pressure
         server.pressure_at = self.now
-        if pressure < 1:
+        if pressure < 0.9:
             server.over = 0
         else:
             server.over += 1
-            self.relieve(server, (pressure - 0.9) / pressure, REPORT_LIFE)
+            self.relieve(server, (pressure - 0.7) / pressure, REPORT_LIFE)
 
     # Timers
 
