--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -49,6 +49,7 @@
 NOTE_LIFE = 25_000  # notes on slow messages come every second; two missed ones make a third unlikely
 PROBE_EVERY = SECOND  # servers are probed about this often
 REPORT_LIFE = 3 * SECOND  # a report older than this is not trusted
+FLEET_RECENT = 16  # set-ups remembered over the whole fleet
 CAP = 0.75  # load over what a server can do above which it is passed over while others are below
 PLANNED_DIALS = 3  # dials for which the time to the dial timeout is divided
 
@@ -132,6 +133,11 @@
         self.list_failures = 0
         self.list_asked = False
         self.doubt = False
+        self.set_ups: deque[tuple[Server, bool]] = deque(maxlen=FLEET_RECENT)
+        self.setting_up = 0  # dials out
+        self.storm = False  # set-ups fail all over the fleet
+        self.room = 1  # dials that may be out in a storm
+        self.pause_until = 0
         self.handlers: dict[type, Callable[[Event], None]] = {
             ServerList: self.on_list,
             SessionCame: self.on_came,
@@ -297,6 +303,9 @@
     def place(self, index: int, sess: Session) -> None:
         """Dials the best server, or gives the final answer at once when no dial can help."""
         left = sess.deadline - self.now
+        if self.storm and (self.setting_up >= self.room or self.now < self.pause_until):
+            self.give_up(index, sess)
+            return
         if sess.dials < self.site.max_dials and left > 2 * self.site.tick and self.may_repeat(sess):
             server = self.pick(sess)
             if server is not None and not (sess.dials == 0 and self.is_jammed(server)):
@@ -331,12 +340,15 @@
     def dial(self, index: int, sess: Session, server: Server) -> None:
         left = sess.deadline - self.now - 2 * self.site.tick
         planned = min(PLANNED_DIALS, self.site.max_dials) - sess.dials
-        limit = left if planned <= 1 else max(left // planned, min(left, self.site.connect_timeout))
+        limit = left
+        if planned > 1 and not self.storm:
+            limit = max(left // planned, min(left, self.site.connect_timeout))
         sess.dials += 1
         sess.dialled_at = self.now
         sess.tried.append(server.index)
         self.join(sess, server)
         server.dials_out += 1
+        self.setting_up += 1
         if server.sick:
             server.trial_at = self.trial_time(server)
         if self.is_cold(server):
@@ -346,6 +358,8 @@
     def on_established(self, event: Established) -> None:
         sess = self.sessions.get(event.sess)
         server = self.servers[event.server]
+        server.dials_out -= 1
+        self.setting_up -= 1
         self.set_up_went(server, True)
         if sess is None:
             return
@@ -371,17 +385,14 @@
                 self.burden(server, lost)
             if self.site.passes_through and sess.subject is not None:
                 self.homes.pop(sess.subject, None)
-        elif outcome is not Outcome.ENDED and outcome is not Outcome.CANCELLED:
+        else:
+            server.dials_out -= 1
+            self.setting_up -= 1
             if outcome is Outcome.FULL:
-                server.dials_out -= 1
                 server.full_until = self.now + int(self.uniform(SECOND / 4, SECOND / 2))
-            elif outcome is Outcome.UNSENT:
-                server.dials_out -= 1
-            else:
+            elif outcome not in (Outcome.ENDED, Outcome.CANCELLED, Outcome.UNSENT):
                 self.burden(server, lost)
                 self.set_up_went(server, False, outcome is Outcome.UNREACHABLE)
-        else:
-            server.dials_out -= 1
         if event.complete or sess.standing or sess.finished:
             del self.sessions[event.sess]
             return
@@ -458,7 +469,8 @@
     # Health
 
     def set_up_went(self, server: Server, well: bool, unreachable: bool = False) -> None:
-        server.dials_out -= 1
+        if not unreachable:
+            self.watch_fleet(server, well)
         recent = server.recent
         recent.append(well)
         if well:
@@ -472,6 +484,8 @@
             server.trials += 1
             server.trial_at = self.trial_time(server)
             return
+        if self.storm:
+            return
         failed = len(recent) - sum(recent)
         if failed < 3 and not (len(recent) > 1 and not recent[-2]):
             return
@@ -487,6 +501,32 @@
         server.trial_at = self.trial_time(server)
         self.log(f"server {server.index} out: {failed} of {len(recent)} set-ups failed, {out} out")
 
+    def watch_fleet(self, server: Server, well: bool) -> None:
+        """Guards against a storm of dials that keeps down what all set-ups need, such as a shared store.
+
+        Told from sick servers and cut links by failures all over the fleet, those of the own zone too.
+        """
+        self.set_ups.append((server, well))
+        bad = [one for one, ok in self.set_ups if not ok]
+        if self.storm:
+            if well:
+                self.room += 1
+                if not bad:
+                    self.storm = False
+                    self.log(f"set-ups work again, {self.room} dials at once")
+            else:
+                self.room = max(1, self.room // 2)
+                self.pause_until = self.now + int(self.uniform(SECOND / 10, SECOND / 2))
+            return
+        if 2 * len(bad) < FLEET_RECENT:
+            return
+        failing = {one.index for one in bad}
+        home = {one.zone for one in self.ready if one.zone == self.site.zone}
+        if 3 * len(failing) >= len(self.ready) and home <= {one.zone for one in bad}:
+            self.storm = True
+            self.room = 1
+            self.log(f"{len(bad)} of the last {len(self.set_ups)} set-ups failed on {len(failing)} servers")
+
     def trial_time(self, server: Server) -> int:
         wait = TRIAL_WAIT * 2 ** min(server.trials, 3)
         return self.now + int(self.uniform(0.75 * wait, 1.25 * wait))
@@ -523,7 +563,7 @@
 
     def relieve(self, server: Server, share: float, pause: int) -> None:
         """Last resort: moves own sessions off a server that stays past its cap while others have room."""
-        if server.over < 1 or self.now - server.relieved_at < pause:
+        if self.storm or self.now - server.relieved_at < pause:
             return
         if not any(
             s is not server and not s.sick and not self.is_pressed(s) and s.full_until <= self.now
