--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -49,6 +49,7 @@
 NOTE_LIFE = 25_000  # notes on slow messages come every second; two missed ones make a third unlikely
 PROBE_EVERY = SECOND  # servers are probed about this often
 REPORT_LIFE = 3 * SECOND  # a report older than this is not trusted
+CROWDED = 3  # own sums remembered at which a server was slow
 FLEET_RECENT = 16  # set-ups remembered over the whole fleet
 CAP = 0.75  # load over what a server can do above which it is passed over while others are below
 PLANNED_DIALS = 3  # dials for which the time to the dial timeout is divided
@@ -58,10 +59,9 @@
     """A server as this balancer alone has seen it."""
 
     __slots__ = (
-        "cell", "delay", "delay_at", "dials_out", "full_until", "handicap", "handicap_at", "index", "kind",
-        "lacking", "over", "pressure", "pressure_at", "recent", "relieved_at", "sent", "sick", "standing",
-        "started", "state", "told",
-        "trial_at", "trials", "zone",
+        "cell", "crowded", "delay", "delay_at", "dials_out", "full_until", "handicap", "handicap_at",
+        "index", "kind", "lacking", "pressure", "pressure_at", "recent", "relieved_at", "sent", "sick",
+        "standing", "started", "state", "told", "trial_at", "trials", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Entry) -> None:
@@ -86,7 +86,7 @@
         self.trials = 0
         self.dials_out = 0
         self.full_until = 0
-        self.over = 0  # times in a row that it was told to be past its cap
+        self.crowded: deque[tuple[int, float]] = deque(maxlen=CROWDED)  # own sums at which messages were slow
         self.relieved_at = -FADE
         self.delay = 0
         self.delay_at = -NOTE_LIFE
@@ -422,7 +422,7 @@
                 rank = 3
             elif server.full_until > now:
                 rank = 2
-            elif self.is_pressed(server):
+            elif self.is_pressed(server) or (server.crowded and self.would_crowd(server, ahead)):
                 rank = 1
             if rank > best_key[0]:
                 continue
@@ -540,6 +540,18 @@
             return True
         return server.delay > 0 and self.now - server.delay_at <= NOTE_LIFE
 
+    def would_crowd(self, server: Server, ahead: float) -> bool:
+        """The paper's maximum load, learned: own sums at which this server's messages were slow of late.
+
+        Guards against refilling a slow machine as soon as it has recovered, over and over.
+        """
+        crowded = server.crowded
+        while crowded and crowded[0][0] < self.now - FADE:
+            crowded.popleft()
+        if not crowded:
+            return False
+        return server.told + ahead > sum(load for _, load in crowded) / len(crowded)
+
     def is_jammed(self, server: Server) -> bool:
         """Past its cap so far that one more session would be served badly and spoil those that stand."""
         if server.pressure >= 1 and self.now - server.pressure_at <= REPORT_LIFE:
@@ -552,13 +564,13 @@
         server.delay_at = self.now
         if self.now - server.pressure_at <= REPORT_LIFE and event.delay <= self.hung_delay:
             return  # the report says better how much is too much
+        if server.delay:
+            server.crowded.append((self.now, server.told))
         if event.delay <= self.shortest_aim:
-            server.over = 0
-        elif event.delay > self.hung_delay:
-            server.over += 1
+            return
+        if event.delay > self.hung_delay:
             self.relieve(server, 0.5, SECOND // 2)
         else:
-            server.over += 1
             self.relieve(server, 0.1, SECOND // 2)
 
     def relieve(self, server: Server, share: float, pause: int) -> None:
@@ -591,10 +603,7 @@
     def take_report(self, server: Server, pressure: float) -> None:
         server.pressure = pressure
         server.pressure_at = self.now
-        if pressure < 0.9:
-            server.over = 0
-        else:
-            server.over += 1
+        if pressure >= 0.9:
             self.relieve(server, (pressure - 0.7) / pressure, REPORT_LIFE)
 
     # Timers
