--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -61,7 +61,7 @@
     __slots__ = (
         "cell", "crowded", "delay", "delay_at", "dials_out", "full_until", "handicap", "handicap_at",
         "index", "kind", "lacking", "pressure", "pressure_at", "recent", "relieved_at", "sent", "sick",
-        "standing", "started", "state", "told", "trial_at", "trials", "zone",
+        "standing", "started", "state", "told", "told_at_report", "trial_at", "trials", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Entry) -> None:
@@ -91,6 +91,7 @@
         self.delay = 0
         self.delay_at = -NOTE_LIFE
         self.pressure = 0.0
+        self.told_at_report = 0.0
         self.pressure_at = -REPORT_LIFE
 
 
@@ -536,7 +537,11 @@
 
     def is_pressed(self, server: Server) -> bool:
         """The load cap: the server says it is full, or its messages are slow."""
-        if server.pressure >= CAP and self.now - server.pressure_at <= REPORT_LIFE:
+        pressure = server.pressure
+        if server.told > server.told_at_report > 0:
+            # Guards against a rush to a server whose late report does not yet show what was sent since.
+            pressure *= server.told / server.told_at_report
+        if pressure >= CAP and self.now - server.pressure_at <= REPORT_LIFE:
             return True
         return server.delay > 0 and self.now - server.delay_at <= NOTE_LIFE
 
@@ -550,7 +555,7 @@
             crowded.popleft()
         if not crowded:
             return False
-        return server.told + ahead > sum(load for _, load in crowded) / len(crowded)
+        return server.told + ahead > min(load for _, load in crowded)
 
     def is_jammed(self, server: Server) -> bool:
         """Past its cap so far that one more session would be served badly and spoil those that stand."""
@@ -603,6 +608,7 @@
     def take_report(self, server: Server, pressure: float) -> None:
         server.pressure = pressure
         server.pressure_at = self.now
+        server.told_at_report = server.told
         if pressure >= 0.9:
             self.relieve(server, (pressure - 0.7) / pressure, REPORT_LIFE)
 
