--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -49,6 +49,7 @@
 NOTE_LIFE = 25_000  # notes on slow messages come every second; two missed ones make a third unlikely
 PROBE_EVERY = SECOND  # servers are probed about this often
 REPORT_LIFE = 3 * SECOND  # a report older than this is not trusted
+HEADROOM = 0.9  # of a sum at which messages were slow, what the server is taken to carry
 CROWDED = 3  # own sums remembered at which a server was slow
 FLEET_RECENT = 16  # set-ups remembered over the whole fleet
 CAP = 0.75  # load over what a server can do above which it is passed over while others are below
@@ -570,7 +571,7 @@
         if self.now - server.pressure_at <= REPORT_LIFE and event.delay <= self.hung_delay:
             return  # the report says better how much is too much
         if server.delay:
-            server.crowded.append((self.now, server.told))
+            server.crowded.append((self.now, HEADROOM * server.told))
         if event.delay <= self.shortest_aim:
             return
         if event.delay > self.hung_delay:
