--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -310,7 +310,7 @@
             return
         if sess.dials < self.site.max_dials and left > 2 * self.site.tick and self.may_repeat(sess):
             server = self.pick(sess)
-            if server is not None and not (sess.dials == 0 and self.is_jammed(server)):
+            if server is not None and not self.is_jammed(server):
                 self.dial(index, sess, server)
                 return
         self.give_up(index, sess)
@@ -492,8 +492,12 @@
         if failed < 3 and not (len(recent) > 1 and not recent[-2]):
             return
         out = self.count_sick() + 1
-        if not unreachable and 2 * out > len(self.ready):
-            # Guards against shutting out the fleet for a fault of the link, the list or the store.
+        home = self.site.zone
+        if 2 * out > len(self.ready) and not any(
+            s.zone == home and not s.sick and s is not server for s in self.ready
+        ):
+            # Guards against shutting out the fleet for a fault of the own link, the list or the store;
+            # with servers of the own zone well, it is the other zones that are cut off.
             if not self.doubt:
                 self.doubt = True
                 self.log(f"most servers fail, {out} of {len(self.ready)}; none more taken out")
@@ -530,21 +534,24 @@
             self.log(f"{len(bad)} of the last {len(self.set_ups)} set-ups failed on {len(failing)} servers")
 
     def trial_time(self, server: Server) -> int:
-        wait = TRIAL_WAIT * 2 ** min(server.trials, 3)
+        wait = TRIAL_WAIT * 2 ** min(server.trials, 2)
         return self.now + int(self.uniform(0.75 * wait, 1.25 * wait))
 
     def count_sick(self) -> int:
         return sum(s.sick for s in self.ready)
 
-    def is_pressed(self, server: Server) -> bool:
-        """The load cap: the server says it is full, or its messages are slow."""
-        pressure = server.pressure
+    def load_now(self, server: Server) -> float:
+        """Load over what the server can do as last reported, 0 where no fresh report tells."""
+        if self.now - server.pressure_at > REPORT_LIFE:
+            return 0.0
         if server.told > server.told_at_report > 0:
             # Guards against a rush to a server whose late report does not yet show what was sent since.
-            pressure *= server.told / server.told_at_report
-        if pressure >= CAP and self.now - server.pressure_at <= REPORT_LIFE:
-            return True
-        return server.delay > 0 and self.now - server.delay_at <= NOTE_LIFE
+            return server.pressure * server.told / server.told_at_report
+        return server.pressure
+
+    def is_pressed(self, server: Server) -> bool:
+        """The load cap: the server says it is nearly full, or its messages are slow."""
+        return self.load_now(server) >= CAP or (server.delay > 0 and self.now - server.delay_at <= NOTE_LIFE)
 
     def would_crowd(self, server: Server, ahead: float) -> bool:
         """The paper's maximum load, learned: own sums at which this server's messages were slow of late.
@@ -560,7 +567,7 @@
 
     def is_jammed(self, server: Server) -> bool:
         """Past its cap so far that one more session would be served badly and spoil those that stand."""
-        if server.pressure >= 1 and self.now - server.pressure_at <= REPORT_LIFE:
+        if self.load_now(server) >= 1:
             return True
         return server.delay > self.shortest_aim and self.now - server.delay_at <= NOTE_LIFE
 
