--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -595,11 +595,15 @@
             for s in self.ready
         ):
             return
-        room = share * server.told
+        surplus = room = share * server.told
         moved = 0
+        # The heaviest that fit come first and light ones stay: few moves, each worth its price.
         for index, sess in sorted(server.standing.items(), key=lambda item: -(item[1].load or 0.0)):
-            if sess.load is not None and sess.load <= room:
-                room -= sess.load
+            load = sess.load or 0.0
+            if load < surplus / 20 or room <= 0:
+                break
+            if load <= 1.5 * room:
+                room -= load
                 moved += 1
                 self.out.append(Move(index))
         if moved:
