Round: relieve a jammed server even where no other has room

Cause: in an overload all servers stay past their caps with what already stands on them and serve nobody.

--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -590,7 +590,7 @@
         """Last resort: moves own sessions off a server that stays past its cap while others have room."""
         if self.storm or self.now - server.relieved_at < pause:
             return
-        if not any(
+        if not self.is_jammed(server) and not any(
             s is not server and not s.sick and not self.is_pressed(s) and s.full_until <= self.now
             for s in self.ready
         ):
