--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -590,18 +590,22 @@
         """Last resort: moves own sessions off a server that stays past its cap while others have room."""
         if self.storm or self.now - server.relieved_at < pause:
             return
-        if not self.is_jammed(server) and not any(
+        room_elsewhere = any(
             s is not server and not s.sick and not self.is_pressed(s) and s.full_until <= self.now
             for s in self.ready
-        ):
+        )
+        if not room_elsewhere and not self.is_jammed(server):
             return
         surplus = room = share * server.told
         moved = 0
         # The heaviest that fit come first and light ones stay: few moves, each worth its price.
-        for index, sess in sorted(server.standing.items(), key=lambda item: -(item[1].load or 0.0)):
+        order = sorted(server.standing.items(), key=lambda item: self.move_order(item[1], room_elsewhere))
+        for index, sess in order:
             load = sess.load or 0.0
-            if load < surplus / 20 or room <= 0:
+            if room <= 0:
                 break
+            if load < surplus / 20:
+                continue
             if load <= 1.5 * room:
                 room -= load
                 moved += 1
@@ -613,6 +617,11 @@
                 f"{server.delay / 10:.0f} ms: {moved} of {len(server.standing)} sessions moved"
             )
 
+    def move_order(self, sess: Session, room_elsewhere: bool) -> tuple[float, float]:
+        """Heaviest first; where no other server has room, those of the least utility before that."""
+        utility = 0.0 if room_elsewhere else self.site.listeners[sess.listener].utility
+        return utility, -(sess.load or 0.0)
+
     def on_probed(self, event: Probed) -> None:
         if event.answered and event.pressure is not None:
             self.take_report(self.servers[event.server], event.pressure)
