--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -122,7 +122,6 @@
         self.site = deployment
         self.shortest_aim = min(listener.message_aim for listener in deployment.listeners)
         self.hung_delay = min(listener.dial_timeout for listener in deployment.listeners)
-        self.top_utility = max(listener.utility for listener in deployment.listeners) or 1.0
         chance = random.Random(seed)
         self.uniform = chance.uniform
         self.choice = chance.choice
@@ -311,7 +310,7 @@
             return
         if sess.dials < self.site.max_dials and left > 2 * self.site.tick and self.may_repeat(sess):
             server = self.pick(sess)
-            if server is not None and not self.is_jammed(server, sess):
+            if server is not None and not self.is_jammed(server):
                 self.dial(index, sess, server)
                 return
         self.give_up(index, sess)
@@ -566,13 +565,9 @@
             return False
         return server.told + ahead > min(load for _, load in crowded)
 
-    def is_jammed(self, server: Server, sess: Session | None = None) -> bool:
-        """Past its cap so far that one more session would be served badly and spoil those that stand.
-
-        Sessions of less utility find it jammed sooner, so that the last room goes to the others.
-        """
-        rank = 1.0 if sess is None else self.site.listeners[sess.listener].utility / self.top_utility
-        if self.load_now(server) >= CAP + (1 - CAP) * rank:
+    def is_jammed(self, server: Server) -> bool:
+        """Past its cap so far that one more session would be served badly and spoil those that stand."""
+        if self.load_now(server) >= 1:
             return True
         return server.delay > self.shortest_aim and self.now - server.delay_at <= NOTE_LIFE
 
