--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -410,6 +410,7 @@
         now = self.now
         mean = self.mean_load()
         ahead = mean if sess.load is None else sess.load
+        home, dear = self.site.zone, self.site.crossing_price > 0
         best: list[Server] = []
         best_key = (9, 0.0)
         for server in self.ready:
@@ -426,6 +427,9 @@
                 rank = 2
             elif self.is_pressed(server) or (server.crowded and self.would_crowd(server, ahead)):
                 rank = 1
+            elif dear and server.zone == home and now - server.pressure_at <= REPORT_LIFE:
+                # Guards against paying for a crossing while a report shows room in the own zone.
+                rank = -1
             if rank > best_key[0]:
                 continue
             key = (rank, self.own_sum(server, mean))
