--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -61,8 +61,8 @@
 
     __slots__ = (
         "cell", "crowded", "delay", "delay_at", "dials_out", "full_until", "handicap", "handicap_at",
-        "index", "kind", "lacking", "pressure", "pressure_at", "recent", "relieved_at", "sent", "sick",
-        "standing", "started", "state", "told", "told_at_report", "trial_at", "trials", "zone",
+        "index", "kind", "lacking", "over", "pressure", "pressure_at", "recent", "relieved_at", "sent",
+        "sick", "standing", "started", "state", "told", "told_at_report", "trial_at", "trials", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Entry) -> None:
@@ -88,6 +88,7 @@
         self.dials_out = 0
         self.full_until = 0
         self.crowded: deque[tuple[int, float]] = deque(maxlen=CROWDED)  # own sums at which messages were slow
+        self.over = 0  # notes in a row of messages past the shortest aim
         self.relieved_at = -FADE
         self.delay = 0
         self.delay_at = -NOTE_LIFE
@@ -579,16 +580,17 @@
         server = self.servers[event.server]
         server.delay = event.delay if 3 * event.delay > self.shortest_aim else 0
         server.delay_at = self.now
-        if self.now - server.pressure_at <= REPORT_LIFE and event.delay <= self.hung_delay:
-            return  # the report says better how much is too much
-        if server.delay:
+        fresh = self.now - server.pressure_at <= REPORT_LIFE
+        if server.delay and not fresh:
             server.crowded.append((self.now, HEADROOM * server.told))
         if event.delay <= self.shortest_aim:
+            server.over = 0
             return
-        if event.delay > self.hung_delay:
-            self.relieve(server, 0.5, SECOND // 2)
-        else:
-            self.relieve(server, 0.1, SECOND // 2)
+        # Each further note past the aim doubles the share: a heavy session that fits no small share must
+        # go too, and a hung server is left soon.
+        server.over += 1
+        hung = event.delay > self.hung_delay
+        self.relieve(server, 0.5 if hung else min(0.05 + 0.05 * server.over, 0.5), SECOND // 2)
 
     def relieve(self, server: Server, share: float, pause: int) -> None:
         """Last resort: moves own sessions off a server that stays past its cap while others have room."""
