--- a/thymedeck/benchlink.py
+++ b/thymedeck/benchlink.py
@@ -37,7 +37,6 @@
     "CANCELLED": own.Outcome.CANCELLED,
     "TOO_LATE": own.Outcome.UNSENT,
 }
-NOTE_LOAD, NOTE_DELAY = 1, 2
 NO_AIM = 10_000_000.0
 
 
@@ -85,10 +84,7 @@
     limits, contract = env.limits, env.contract
     return own.Deployment(
         listeners=listeners,
-        member_parts=tuple(member.portion for member in env.realms),
-        over_share_utility=env.overage_utility,
         zone=env.zone,
-        balancers=max(env.replicas_of_me, 1),
         tick=up(env.tick_us),
         connect_timeout=up(limits.dial_timeout_us),
         max_dials=limits.max_dials,
@@ -103,8 +99,6 @@
         present_load=env.extra.tells_load,
         passes_through=env.extra.mode == "pass",
         crossing_price=env.prices.cross_zone,
-        probe_price=env.prices.probe,
-        move_price=env.prices.moves,
     )
 
 
@@ -160,12 +154,12 @@
         match event:
             case wire.Accept():
                 return own.SessionCame(
-                    self.new_sess(event.req), event.type, event.account, down(event.budget_us),
+                    self.new_sess(event.req), event.type, down(event.budget_us),
                     event.work_us, event.partition_key, event.mid_flow,
                 )  # fmt: skip
             case wire.AlreadyOpen():
                 return own.SessionStands(
-                    self.new_sess(event.req), event.type, event.account, event.work_us,
+                    self.new_sess(event.req), event.type, event.work_us,
                     event.partition_key, self.server(event.server),
                 )  # fmt: skip
             case wire.Wake():
@@ -197,9 +191,9 @@
                     sess, server, event.copy, down(event.duration_us), outcome, event.complete,
                     self.pressure(event.stats),
                 )  # fmt: skip
-            case wire.UpdateOf(what=1):
+            case wire.UpdateOf(what=wire.NOTE_LOAD):
                 return own.LoadTold(sess, event.amount)
-            case wire.UpdateOf(what=2):
+            case wire.UpdateOf(what=wire.NOTE_DELAY):
                 return own.DelayTold(sess, server, int(event.amount * 10))
         return None
 
--- a/thymedeck/interface.py
+++ b/thymedeck/interface.py
@@ -53,7 +53,6 @@
 class Timer(IntEnum):
     LIST = 0
     PROBE = 1
-    CARE = 2
 
 
 @dataclass(slots=True, frozen=True)
@@ -72,10 +71,7 @@
     """What the deployment states when a balancer starts; only what the decisions read."""
 
     listeners: tuple[Listener, ...]
-    member_parts: tuple[float, ...]
-    over_share_utility: float
     zone: int
-    balancers: int
     tick: int
     connect_timeout: int
     max_dials: int
@@ -90,8 +86,6 @@
     present_load: bool
     passes_through: bool
     crossing_price: float
-    probe_price: float
-    move_price: float
 
 
 @dataclass(slots=True, frozen=True)
@@ -117,7 +111,6 @@
 class SessionCame:
     sess: int
     listener: int
-    member: int
     budget: int
     hint: float | None
     subject: str | None
@@ -130,7 +123,6 @@
 
     sess: int
     listener: int
-    member: int
     hint: float | None
     subject: str | None
     server: int
--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -345,7 +345,9 @@
         planned = min(PLANNED_DIALS, self.site.max_dials) - sess.dials
         limit = left
         if planned > 1 and not self.storm:
-            limit = max(left // planned, min(left, self.site.connect_timeout))
+            # A dial that does not stand within the handshake target gives way while another still fits.
+            target = self.site.listeners[sess.listener].handshake_target
+            limit = min(left // planned, max(target, self.site.connect_timeout))
         sess.dials += 1
         sess.dialled_at = self.now
         sess.tried.append(server.index)
--- a/thymedeck/wire.py
+++ b/thymedeck/wire.py
@@ -2,6 +2,9 @@
 
 from msgspec import Struct, field
 
+NOTE_LOAD = 1
+NOTE_DELAY = 2
+
 
 class Listener(Struct):
     handshake_target_us: int
@@ -12,10 +15,6 @@
     memory_span_us: int = 0
 
 
-class Member(Struct):
-    portion: float = 0.0
-
-
 class Extra(Struct):
     message_aim_us: list[float] = []
     mode: str = "proxy"
@@ -44,8 +43,6 @@
 
 class Prices(Struct):
     cross_zone: float = 0.0
-    probe: float = 0.0
-    moves: float = 0.0
 
 
 class Env(Struct):
@@ -55,10 +52,7 @@
     tick_us: int
     discovery: str = "pushed"
     extra: Extra = field(default_factory=Extra)
-    realms: list[Member] = []
-    overage_utility: float = 1.0
     prices: Prices = field(default_factory=Prices)
-    replicas_of_me: int = 1
     report: Report = field(default_factory=Report)
     zone: int = 0
 
@@ -93,7 +87,6 @@
     req: int
     type: int
     budget_us: int
-    account: int = 0
     partition_key: str | None = None
     work_us: float | None = None
     mid_flow: bool = False
@@ -104,7 +97,6 @@
     req: int
     server: int
     type: int
-    account: int = 0
     partition_key: str | None = None
     work_us: float | None = None
 
