--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -42,6 +42,7 @@
 )
 
 SECOND = 10_000
+LOG_PAUSE = 10 * SECOND  # a mode that has rested this long is logged again when it returns
 HISTORY = 100  # connections whose mean stands in for a load not yet told (design page)
 FADE = 30 * SECOND  # a newcomer's head start of load is gone after this (design page)
 RECENT = 8  # set-ups remembered of each server
@@ -141,6 +142,7 @@
         self.storm = False  # set-ups fail all over the fleet
         self.room = 1  # dials that may be out in a storm
         self.pause_until = 0
+        self.jam_at = -LOG_PAUSE - 1  # last refusal because every server was jammed
         self.handlers: dict[type, Callable[[Event], None]] = {
             ServerList: self.on_list,
             SessionCame: self.on_came,
@@ -311,9 +313,13 @@
             return
         if sess.dials < self.site.max_dials and left > 2 * self.site.tick and self.may_repeat(sess):
             server = self.pick(sess)
-            if server is not None and not self.is_jammed(server):
-                self.dial(index, sess, server)
-                return
+            if server is not None:
+                if not self.is_jammed(server):
+                    self.dial(index, sess, server)
+                    return
+                if self.now - self.jam_at > LOG_PAUSE:
+                    self.log(f"all jammed, best at load {self.load_now(server):.2f}; refusing")
+                self.jam_at = self.now
         self.give_up(index, sess)
 
     def may_repeat(self, sess: Session) -> bool:
@@ -619,11 +625,12 @@
                 moved += 1
                 self.out.append(Move(index))
         if moved:
+            if self.now - server.relieved_at > LOG_PAUSE:
+                self.log(
+                    f"server {server.index} past its cap: load {self.load_now(server):.2f}, message "
+                    f"{server.delay / 10:.0f} ms; moving, {moved} of {len(server.standing)} first"
+                )
             server.relieved_at = self.now
-            self.log(
-                f"server {server.index} past its cap, load {server.pressure:.2f}, message "
-                f"{server.delay / 10:.0f} ms: {moved} of {len(server.standing)} sessions moved"
-            )
 
     def move_order(self, sess: Session, room_elsewhere: bool) -> tuple[float, float]:
         """Heaviest first; where no other server has room, those of the least utility before that."""
