--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,8 +2,8 @@
 
     set KEY=VALUE ...        before the first event: changes the deployment (listener keys apply to all)
     T list KIND S:STATE ...  the list of servers; more after a further colon: z1 zone, c2 cell, b-50 started
-    T EVENT ...              came N [budget=] [load=], stands N on S, up N, ended N OUTCOME [done], load N X,
-                             delay N MS, probed S X, left N
+    T EVENT ...              came N [budget=] [load=], stands N on S, up N [TOOK], load N X,
+                             ended N OUTCOME [done], delay N MS, probed S X, left N
     expect ACTION ...        these came out of the last event, in this order (timers and logs left out)
     expect none              nothing came out but timers and logs
     expect any ACTION        among what came out there is one of this kind
@@ -96,7 +96,7 @@
             return own.LoadTold(sess, float(words[1]))
         server = self.at[sess]
         if kind == "up":
-            return own.Established(sess, server, 0, 100)
+            return own.Established(sess, server, 0, int(words[1]) if words[1:] else 100)
         if kind == "delay":
             return own.DelayTold(sess, server, int(float(words[1]) * 10))
         assert kind == "ended", f"{self.path.name}: no event {kind}"
--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -123,6 +123,8 @@
     def __init__(self, seed: int, deployment: Deployment) -> None:
         self.site = deployment
         self.shortest_aim = min(listener.message_aim for listener in deployment.listeners)
+        # A set-up that takes half the shortest handshake target is late: what it needs is filling up.
+        self.late_after = min(listener.handshake_target for listener in deployment.listeners) // 2
         self.hung_delay = min(listener.dial_timeout for listener in deployment.listeners)
         chance = random.Random(seed)
         self.uniform = chance.uniform
@@ -371,7 +373,7 @@
         server = self.servers[event.server]
         server.dials_out -= 1
         self.setting_up -= 1
-        self.set_up_went(server, True)
+        self.set_up_went(server, True, late=event.took > self.late_after)
         if sess is None:
             return
         sess.standing = True
@@ -483,9 +485,9 @@
 
     # Health
 
-    def set_up_went(self, server: Server, well: bool, unreachable: bool = False) -> None:
+    def set_up_went(self, server: Server, well: bool, unreachable: bool = False, late: bool = False) -> None:
         if not unreachable:
-            self.watch_fleet(server, well)
+            self.watch_fleet(server, well and not late, well)
         recent = server.recent
         recent.append(well)
         if well:
@@ -520,10 +522,11 @@
         server.trial_at = self.trial_time(server)
         self.log(f"server {server.index} out: {failed} of {len(recent)} set-ups failed, {out} out")
 
-    def watch_fleet(self, server: Server, well: bool) -> None:
+    def watch_fleet(self, server: Server, well: bool, stood: bool) -> None:
         """Guards against a storm of dials that keeps down what all set-ups need, such as a shared store.
 
-        Told from sick servers and cut links by failures all over the fleet, those of the own zone too.
+        Told from sick servers and cut links by set-ups that are late or fail all over the fleet, in the
+        own zone too.
         """
         self.set_ups.append((server, well))
         bad = [one for one, ok in self.set_ups if not ok]
@@ -533,6 +536,8 @@
                 if not bad:
                     self.storm = False
                     self.log(f"set-ups work again, {self.room} dials at once")
+            elif stood:
+                self.room = max(1, self.room - 1)
             else:
                 self.room = max(1, self.room // 2)
                 self.pause_until = self.now + int(self.uniform(SECOND / 10, SECOND / 2))
@@ -544,7 +549,9 @@
         if 3 * len(failing) >= len(self.ready) and home <= {one.zone for one in bad}:
             self.storm = True
             self.room = 1
-            self.log(f"{len(bad)} of the last {len(self.set_ups)} set-ups failed on {len(failing)} servers")
+            self.log(
+                f"{len(bad)} of the last {len(self.set_ups)} set-ups late or failed on {len(failing)} servers"
+            )
 
     def trial_time(self, server: Server) -> int:
         wait = TRIAL_WAIT * 2 ** min(server.trials, 2)
