--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -564,9 +564,10 @@
         """Load over what the server can do as last reported, 0 where no fresh report tells."""
         if self.now - server.pressure_at > REPORT_LIFE:
             return 0.0
-        if server.told > server.told_at_report > 0:
+        carried = server.told + (server.lacking * self.mean_load() if server.lacking else 0.0)
+        if carried > server.told_at_report > 0:
             # Guards against a rush to a server whose late report does not yet show what was sent since.
-            return server.pressure * server.told / server.told_at_report
+            return server.pressure * carried / server.told_at_report
         return server.pressure
 
     def is_pressed(self, server: Server) -> bool:
@@ -595,8 +596,7 @@
         server = self.servers[event.server]
         server.delay = event.delay if 3 * event.delay > self.shortest_aim else 0
         server.delay_at = self.now
-        fresh = self.now - server.pressure_at <= REPORT_LIFE
-        if server.delay and not fresh:
+        if server.delay:
             server.crowded.append((self.now, HEADROOM * server.told))
         if event.delay <= self.shortest_aim:
             server.over = 0
