--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -144,7 +144,7 @@
         self.storm = False  # set-ups fail all over the fleet
         self.room = 1  # dials that may be out in a storm
         self.pause_until = 0
-        self.jam_at = -LOG_PAUSE - 1  # last refusal because every server was jammed
+        self.crowd_at = -LOG_PAUSE - 1  # last refusal because every server was at its cap
         self.handlers: dict[type, Callable[[Event], None]] = {
             ServerList: self.on_list,
             SessionCame: self.on_came,
@@ -316,12 +316,13 @@
         if sess.dials < self.site.max_dials and left > 2 * self.site.tick and self.may_repeat(sess):
             server = self.pick(sess)
             if server is not None:
-                if not self.is_jammed(server):
+                # Guards against an overload in which one more session spoils those that stand.
+                if not self.is_pressed(server):
                     self.dial(index, sess, server)
                     return
-                if self.now - self.jam_at > LOG_PAUSE:
-                    self.log(f"all jammed, best at load {self.load_now(server):.2f}; refusing")
-                self.jam_at = self.now
+                if self.now - self.crowd_at > LOG_PAUSE:
+                    self.log(f"all at their cap, best at load {self.load_now(server):.2f}; refusing")
+                self.crowd_at = self.now
         self.give_up(index, sess)
 
     def may_repeat(self, sess: Session) -> bool:
@@ -587,7 +588,7 @@
         return server.told + ahead > min(load for _, load in crowded)
 
     def is_jammed(self, server: Server) -> bool:
-        """Past its cap so far that one more session would be served badly and spoil those that stand."""
+        """So far past its cap that its sessions are served badly whatever else happens."""
         if self.load_now(server) >= 1:
             return True
         return server.delay > self.shortest_aim and self.now - server.delay_at <= NOTE_LIFE
