--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -597,7 +597,8 @@
         server = self.servers[event.server]
         server.delay = event.delay if 3 * event.delay > self.shortest_aim else 0
         server.delay_at = self.now
-        if server.delay:
+        if server.delay and self.room_beside(server):
+            # With all of them slow it is not this sum that makes it slow.
             server.crowded.append((self.now, HEADROOM * server.told))
         if event.delay <= self.shortest_aim:
             server.over = 0
@@ -612,12 +613,12 @@
         """Last resort: moves own sessions off a server that stays past its cap while others have room."""
         if self.storm or self.now - server.relieved_at < pause:
             return
-        room_elsewhere = any(
-            s is not server and not s.sick and not self.is_pressed(s) and s.full_until <= self.now
-            for s in self.ready
-        )
+        room_elsewhere = self.room_beside(server)
         if not room_elsewhere and not self.is_jammed(server):
             return
+        if not room_elsewhere:
+            # Guards against emptying the fleet for a fault that strikes all of it and passes.
+            share = min(share, 0.1)
         surplus = room = share * server.told
         moved = 0
         # The heaviest that fit come first and light ones stay: few moves, each worth its price.
@@ -640,6 +641,13 @@
                 )
             server.relieved_at = self.now
 
+    def room_beside(self, server: Server) -> bool:
+        """Whether some other server can take more."""
+        return any(
+            s is not server and not s.sick and not self.is_pressed(s) and s.full_until <= self.now
+            for s in self.ready
+        )
+
     def move_order(self, sess: Session, room_elsewhere: bool) -> tuple[float, float]:
         """Heaviest first; where no other server has room, those of the least utility before that."""
         utility = 0.0 if room_elsewhere else self.site.listeners[sess.listener].utility
