Review: restarts with dials out, early leavers, one-piece answers, waits rounded up

A restart forgot the dials still out, so that a server taken out later got no single trial; sessions whose client had left could still be moved.

--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -77,6 +77,7 @@
         self.lacking = 0  # own standing connections whose load is not known yet
         self.handicap = 0.0
         self.handicap_at = 0
+        self.dials_out = 0  # outlives a restart: what is out still ends
         self.standing: dict[int, Session] = {}
         self.sent: deque[tuple[int, float]] = deque()  # what went to it lately while cold
         self.forget()
@@ -86,7 +87,6 @@
         self.sick = False
         self.trial_at = 0
         self.trials = 0
-        self.dials_out = 0
         self.full_until = 0
         self.crowded: deque[tuple[int, float]] = deque(maxlen=CROWDED)  # own sums at which messages were slow
         self.over = 0  # notes in a row of messages past the shortest aim
@@ -211,9 +211,6 @@
         server.kind = entry.kind
         server.cell = entry.cell
 
-    def follow_list(self) -> None:
-        self.out.append(FollowList())
-
     # The sums
 
     def mean_load(self) -> float:
@@ -304,6 +301,8 @@
         sess = self.sessions.get(event.sess)
         if sess is None:
             return
+        if sess.server is not None:
+            sess.server.standing.pop(event.sess, None)
         self.leave(sess)
         sess.finished = True  # its dial is still out and will end; then the session is let go
 
@@ -378,6 +377,8 @@
         if sess is None:
             return
         sess.standing = True
+        if sess.finished:
+            return
         server.standing[event.sess] = sess
         if self.site.passes_through and sess.subject is not None:
             self.homes[sess.subject] = server.index
@@ -402,9 +403,11 @@
         else:
             server.dials_out -= 1
             self.setting_up -= 1
-            if outcome is Outcome.FULL:
+            if outcome is Outcome.ENDED:
+                self.set_up_went(server, True)  # answered in one piece, without being established first
+            elif outcome is Outcome.FULL:
                 server.full_until = self.now + int(self.uniform(SECOND / 4, SECOND / 2))
-            elif outcome not in (Outcome.ENDED, Outcome.CANCELLED, Outcome.UNSENT):
+            elif outcome not in (Outcome.CANCELLED, Outcome.UNSENT):
                 self.burden(server, lost)
                 self.set_up_went(server, False, outcome is Outcome.UNREACHABLE)
         if event.complete or sess.standing or sess.finished:
@@ -668,7 +671,7 @@
 
     def on_timer(self, event: TimerDue) -> None:
         if event.timer is Timer.LIST:
-            self.follow_list()
+            self.out.append(FollowList())
         elif event.timer is Timer.PROBE:
             server = self.servers[event.index]
             if server.state is not State.GONE:
@@ -676,7 +679,7 @@
             self.set_timer(Timer.PROBE, server.index, self.uniform(0.75, 1.25) * PROBE_EVERY)
 
     def set_timer(self, timer: Timer, index: int, after: float) -> None:
-        self.out.append(SetTimer(timer, index, int(after)))
+        self.out.append(SetTimer(timer, index, int(after) + 1))
 
     def log(self, text: str) -> None:
         self.out.append(Log(text))
