--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -676,7 +676,9 @@
             server = self.servers[event.index]
             if server.state is not State.GONE:
                 self.out.append(Probe(server.index))
-            self.set_timer(Timer.PROBE, server.index, self.uniform(0.75, 1.25) * PROBE_EVERY)
+            # A server far from its cap is asked half as often: each probe has its price.
+            pause = PROBE_EVERY if self.load_now(server) >= CAP / 2 else 2 * PROBE_EVERY
+            self.set_timer(Timer.PROBE, server.index, self.uniform(0.75, 1.25) * pause)
 
     def set_timer(self, timer: Timer, index: int, after: float) -> None:
         self.out.append(SetTimer(timer, index, int(after) + 1))
