--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,12 +1,13 @@
 """Plays a scenario: a text file of what happens to one balancer, and of what it must or must not do.
 
     set KEY=VALUE ...        before the first event: changes the deployment (listener keys apply to all)
-    T list KIND S:STATE ...  the list of servers; more after a further colon: z1 zone, c2 cell, b-50 started
-    T EVENT ...              came N [budget=] [load=], stands N on S, up N [TOOK], load N X,
+    T list KIND S:STATE ...  the list of servers; more after a further colon: z1 zone, c2 cell, b50 started
+    T EVENT ...              came N [budget=] [hint=], stands N on S, up N [TOOK], load N X,
                              ended N OUTCOME [done], delay N MS, probed S X, left N
-    expect ACTION ...        these came out of the last event, in this order (timers and logs left out)
+    expect ACTION ...        this alone came out of the last event (timers and logs left out)
     expect none              nothing came out but timers and logs
     expect any ACTION        among what came out there is one of this kind
+    expect no ACTION         among what came out there is none such
     repeat COUNT             plays the lines up to `end` so often, {} standing for the round
 T is in tenths of a millisecond. `N` names a session, `S` a server; `dial N S` may say `dial N *`.
 """
@@ -36,11 +37,10 @@
 class Play:
     def __init__(self, path: Path) -> None:
         self.path = path
-        self.site, self.listener = SITE, {}
+        self.site = SITE
         self.balancer: Balancer | None = None
         self.out: list[own.Action] = []
         self.at: dict[int, int] = {}
-        self.dials: dict[int, int] = {}
 
     def run(self) -> None:
         lines = [line.split("#")[0].split() for line in self.path.read_text().splitlines()]
@@ -67,18 +67,16 @@
         else:
             if self.balancer is None:
                 self.balancer = Balancer(7, self.site)
-            now = sum(int(part) for part in words[0].split("+"))
-            self.out = self.balancer.handle(now, self.event(words[1], words[2:]))
+            self.out = self.balancer.handle(int(words[0]), self.event(words[1], words[2:]))
             for action in self.out:
                 if isinstance(action, own.Dial):
                     self.at[action.sess] = action.server
-                    self.dials[action.sess] = self.dials.get(action.sess, -1) + 1
 
     def event(self, kind: str, words: list[str]) -> own.Event:
         if kind == "list":
             return own.ServerList(own.ListKind[words[0]], [self.entry(word) for word in words[1:]])
         if kind == "probed":
-            return own.Probed(int(words[0]), 10, True, float(words[1]))
+            return own.Probed(int(words[0]), True, float(words[1]))
         if kind == "timer":
             return own.TimerDue(own.Timer[words[0]], int(words[1]))
         sess = int(words[0])
@@ -96,17 +94,17 @@
             return own.LoadTold(sess, float(words[1]))
         server = self.at[sess]
         if kind == "up":
-            return own.Established(sess, server, 0, int(words[1]) if words[1:] else 100)
+            return own.Established(sess, server, int(words[1]) if words[1:] else 100)
         if kind == "delay":
             return own.DelayTold(sess, server, int(float(words[1]) * 10))
         assert kind == "ended", f"{self.path.name}: no event {kind}"
-        return own.DialEnded(sess, server, 0, 100, own.Outcome[words[1]], "done" in words, None)
+        return own.DialEnded(sess, server, own.Outcome[words[1]], "done" in words, None)
 
     def entry(self, word: str) -> own.Entry:
         index, state, *more = word.split(":")
         marks = {mark[0]: int(mark[1:]) for mark in more}
         zone, cell, started = marks.get("z", 0), marks.get("c", 0), marks.get("b", 0)
-        return own.Entry(int(index), zone, 0, cell, own.State[state.upper()], started)
+        return own.Entry(int(index), zone, cell, own.State[state.upper()], started)
 
     def expect(self, words: list[str]) -> None:
         shown = [self.spell(action) for action in self.out if isinstance(action, SHOWN)]
--- a/thymedeck/benchlink.py
+++ b/thymedeck/benchlink.py
@@ -176,20 +176,17 @@
         if server is None:
             return None
         if isinstance(event, wire.Echo):
-            return own.Probed(
-                server, down(event.duration_us), event.disposition == "OK", self.pressure(event.stats)
-            )
+            return own.Probed(server, event.disposition == "OK", self.pressure(event.stats))
         sess = self.sess_index.get(event.req)
         if sess is None:
             return None
         match event:
             case wire.HeadReceived():
-                return own.Established(sess, server, event.copy, down(event.duration_us))
+                return own.Established(sess, server, down(event.duration_us))
             case wire.ClosedAttempt():
                 outcome = OUTCOMES.get(event.disposition, own.Outcome.UNKNOWN)
                 return own.DialEnded(
-                    sess, server, event.copy, down(event.duration_us), outcome, event.complete,
-                    self.pressure(event.stats),
+                    sess, server, outcome, event.complete, self.pressure(event.stats)
                 )  # fmt: skip
             case wire.UpdateOf(what=wire.NOTE_LOAD):
                 return own.LoadTold(sess, event.amount)
@@ -203,7 +200,7 @@
             return None
         entries = [
             own.Entry(
-                self.server(entry.server), entry.region_part, entry.generation_hw, entry.group,
+                self.server(entry.server), entry.region_part, entry.group,
                 STATES.get(entry.readiness, own.State.DRAINING), down(entry.boot_time_us),
             )
             for entry in event.members
--- a/thymedeck/interface.py
+++ b/thymedeck/interface.py
@@ -92,7 +92,6 @@
 class Entry:
     server: int
     zone: int
-    kind: int
     cell: int
     state: State
     started: int
@@ -137,7 +136,6 @@
 class Established:
     sess: int
     server: int
-    dial: int
     took: int
 
 
@@ -145,8 +143,6 @@
 class DialEnded:
     sess: int
     server: int
-    dial: int
-    took: int
     outcome: Outcome
     complete: bool
     pressure: float | None
@@ -170,7 +166,6 @@
 @dataclass(slots=True)
 class Probed:
     server: int
-    took: int
     answered: bool
     pressure: float | None
 
--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -54,6 +54,10 @@
 CROWDED = 3  # own sums remembered at which a server was slow
 FLEET_RECENT = 16  # set-ups remembered over the whole fleet
 CAP = 0.75  # load over what a server can do above which it is passed over while others are below
+RELIEF_FROM = 0.9  # reported load from which sessions are moved off: past 1 before the next report
+RELIEF_TO = 0.7  # and down to which, a little under the cap so that it is not back at once
+SHARE_STEP = 0.05  # of the own sum, what each further note of slow messages adds to what is moved
+MOST_MOVED = 0.5  # of the own sum at a time: the next note may tell that it was enough
 PLANNED_DIALS = 3  # dials for which the time to the dial timeout is divided
 
 
@@ -62,17 +66,13 @@
 
     __slots__ = (
         "cell", "crowded", "delay", "delay_at", "dials_out", "full_until", "handicap", "handicap_at",
-        "index", "kind", "lacking", "over", "pressure", "pressure_at", "recent", "relieved_at", "sent",
+        "index", "lacking", "over", "pressure", "pressure_at", "recent", "relieved_at", "sent",
         "sick", "standing", "started", "state", "told", "told_at_report", "trial_at", "trials", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Entry) -> None:
         self.index = entry.server
-        self.zone = entry.zone
-        self.kind = entry.kind
-        self.cell = entry.cell
-        self.state = entry.state
-        self.started = entry.started
+        self.list_as(entry)
         self.told = 0.0  # summed load of own standing connections whose load is known
         self.lacking = 0  # own standing connections whose load is not known yet
         self.handicap = 0.0
@@ -82,6 +82,12 @@
         self.sent: deque[tuple[int, float]] = deque()  # what went to it lately while cold
         self.forget()
 
+    def list_as(self, entry: Entry) -> None:
+        self.zone = entry.zone
+        self.cell = entry.cell
+        self.state = entry.state
+        self.started = entry.started
+
     def forget(self) -> None:
         self.recent: deque[bool] = deque(maxlen=RECENT)  # set-ups: accepted or not
         self.sick = False
@@ -137,7 +143,6 @@
         self.figures: deque[float] = deque(maxlen=HISTORY)  # loads of recent connections, on the one scale
         self.homes: dict[str, int] = {}  # subject -> server of a standing session, for packets that move
         self.list_failures = 0
-        self.list_asked = False
         self.doubt = False
         self.set_ups: deque[tuple[Server, bool]] = deque(maxlen=FLEET_RECENT)
         self.setting_up = 0  # dials out
@@ -182,10 +187,9 @@
         elif self.list_failures:
             self.log(f"list back after {self.list_failures} failures")
             self.list_failures = 0
-        first = not self.servers
-        newcomer_load = self.mean_sum()
+        newcomer_load = self.mean_sum(self.ready)
         for entry in event.entries:
-            self.take_entry(entry, 0.0 if first else newcomer_load)
+            self.take_entry(entry, newcomer_load)
         if event.kind is not ListKind.CHANGES:
             named = {entry.server for entry in event.entries}
             for server in self.servers.values():
@@ -205,11 +209,7 @@
             # Guards against a restarted server that draws a rush because its sum was emptied.
             server.forget()
             self.burden(server, newcomer_load)
-        server.started = entry.started
-        server.state = entry.state
-        server.zone = entry.zone
-        server.kind = entry.kind
-        server.cell = entry.cell
+        server.list_as(entry)
 
     # The sums
 
@@ -217,26 +217,23 @@
         figures = self.figures
         return sum(figures) / len(figures) if figures else 1.0
 
-    def own_sum(self, server: Server, mean: float) -> float:
-        total = server.told + server.lacking * mean
-        if server.handicap:
-            left = FADE - (self.now - server.handicap_at)
-            if left > 0:
-                total += server.handicap * left / FADE
-            else:
-                server.handicap = 0.0
-        return total
+    def load_of(self, sess: Session) -> float:
+        return self.mean_load() if sess.load is None else sess.load
 
-    def mean_sum(self) -> float:
-        if not self.ready:
+    def mean_sum(self, servers: list[Server]) -> float:
+        if not servers:
             return 0.0
         mean = self.mean_load()
-        return sum(s.told + s.lacking * mean for s in self.ready) / len(self.ready)
+        return sum(s.told + s.lacking * mean for s in servers) / len(servers)
+
+    def faded(self, server: Server) -> float:
+        """What is left of the load that the server was burdened with."""
+        left = FADE - (self.now - server.handicap_at)
+        return server.handicap * left / FADE if left > 0 else 0.0
 
     def burden(self, server: Server, load: float) -> None:
         """Adds load that fades: a newcomer's start, or what a reset or failure has taken off the sum."""
-        left = FADE - (self.now - server.handicap_at)
-        server.handicap = load + (server.handicap * left / FADE if left > 0 else 0.0)
+        server.handicap = load + self.faded(server)
         server.handicap_at = self.now
 
     def join(self, sess: Session, server: Server) -> None:
@@ -365,7 +362,7 @@
         if server.sick:
             server.trial_at = self.trial_time(server)
         if self.is_cold(server):
-            server.sent.append((self.now, self.mean_load() if sess.load is None else sess.load))
+            server.sent.append((self.now, self.load_of(sess)))
         self.out.append(Dial(index, server.index, max(limit, 1)))
 
     def on_established(self, event: Established) -> None:
@@ -391,7 +388,7 @@
         if sess is None:
             return
         outcome = event.outcome
-        lost = self.mean_load() if sess.load is None else sess.load
+        lost = self.load_of(sess)
         self.leave(sess)
         if sess.standing:
             server.standing.pop(event.sess, None)
@@ -431,7 +428,7 @@
         for server in self.ready:
             if sess.may_have_run is not None and not self.drops_repeat(sess, server):
                 continue
-            if server.started and self.is_cold(server) and not self.cold_room(server, ahead):
+            if self.is_cold(server) and not self.cold_room(server, ahead):
                 continue
             rank = 0
             if sess.tried and server.index in sess.tried:
@@ -447,7 +444,7 @@
                 rank = -1
             if rank > best_key[0]:
                 continue
-            key = (rank, self.own_sum(server, mean))
+            key = (rank, server.told + server.lacking * mean + self.faded(server))
             if key < best_key:
                 best_key = key
                 best = [server]
@@ -480,11 +477,9 @@
         if not sent:
             return True
         warm = [s for s in self.ready if not self.is_cold(s)] or self.ready
-        mean = self.mean_load()
-        full = sum(s.told + s.lacking * mean for s in warm) / len(warm)
         age = max(self.now - server.started, 0)
         part = site.cold_share + (1 - site.cold_share) * age / site.warm_after
-        budget = site.fall_multiple * part * full * site.fall_window / site.warm_after
+        budget = site.fall_multiple * part * self.mean_sum(warm) * site.fall_window / site.warm_after
         return sum(load for _, load in sent) + load <= budget
 
     # Health
@@ -574,9 +569,13 @@
             return server.pressure * carried / server.told_at_report
         return server.pressure
 
+    def delay_now(self, server: Server) -> int:
+        """What a message takes there as last told, 0 where it is quick or no fresh note tells."""
+        return server.delay if self.now - server.delay_at <= NOTE_LIFE else 0
+
     def is_pressed(self, server: Server) -> bool:
         """The load cap: the server says it is nearly full, or its messages are slow."""
-        return self.load_now(server) >= CAP or (server.delay > 0 and self.now - server.delay_at <= NOTE_LIFE)
+        return self.load_now(server) >= CAP or self.delay_now(server) > 0
 
     def would_crowd(self, server: Server, ahead: float) -> bool:
         """The paper's maximum load, learned: own sums at which this server's messages were slow of late.
@@ -592,9 +591,7 @@
 
     def is_jammed(self, server: Server) -> bool:
         """So far past its cap that its sessions are served badly whatever else happens."""
-        if self.load_now(server) >= 1:
-            return True
-        return server.delay > self.shortest_aim and self.now - server.delay_at <= NOTE_LIFE
+        return self.load_now(server) >= 1 or self.delay_now(server) > self.shortest_aim
 
     def on_delay(self, event: DelayTold) -> None:
         server = self.servers[event.server]
@@ -606,11 +603,12 @@
         if event.delay <= self.shortest_aim:
             server.over = 0
             return
-        # Each further note past the aim doubles the share: a heavy session that fits no small share must
-        # go too, and a hung server is left soon.
+        # The share grows with each further note past the aim: a heavy session that fits no small share
+        # must go too, and a hung server is left soon.
         server.over += 1
         hung = event.delay > self.hung_delay
-        self.relieve(server, 0.5 if hung else min(0.05 + 0.05 * server.over, 0.5), SECOND // 2)
+        share = MOST_MOVED if hung else min(SHARE_STEP * (1 + server.over), MOST_MOVED)
+        self.relieve(server, share, SECOND // 2)
 
     def relieve(self, server: Server, share: float, pause: int) -> None:
         """Last resort: moves own sessions off a server that stays past its cap while others have room."""
@@ -621,7 +619,7 @@
             return
         if not room_elsewhere:
             # Guards against emptying the fleet for a fault that strikes all of it and passes.
-            share = min(share, 0.1)
+            share = min(share, 2 * SHARE_STEP)
         surplus = room = share * server.told
         moved = 0
         # The heaviest that fit come first and light ones stay: few moves, each worth its price.
@@ -664,8 +662,8 @@
         server.pressure = pressure
         server.pressure_at = self.now
         server.told_at_report = server.told
-        if pressure >= 0.9:
-            self.relieve(server, (pressure - 0.7) / pressure, REPORT_LIFE)
+        if pressure >= RELIEF_FROM:
+            self.relieve(server, (pressure - RELIEF_TO) / pressure, REPORT_LIFE)
 
     # Timers
 
--- a/thymedeck/wire.py
+++ b/thymedeck/wire.py
@@ -60,7 +60,6 @@
 class Entry(Struct):
     server: int
     region_part: int = 0
-    generation_hw: int = 0
     group: int = 0
     readiness: str = "ready"
     boot_time_us: int = 0
@@ -111,7 +110,6 @@
     req: int
     server: int
     duration_us: int = 0
-    copy: int = 0
 
 
 class ClosedAttempt(Struct, tag_field="t", tag="CLOSED_ATTEMPT"):
@@ -119,8 +117,6 @@
     req: int
     server: int
     disposition: str
-    duration_us: int = 0
-    copy: int = 0
     complete: bool = False
     stats: list[float] | None = None
 
@@ -137,7 +133,6 @@
     i: int
     server: int
     disposition: str
-    duration_us: int = 0
     stats: list[float] | None = None
 
 
