--- /dev/null
+++ b/thymedeck/__main__.py
@@ -0,0 +1,43 @@
+"""The command line: `python -m thymedeck serve`."""
+
+import argparse
+import os
+import sys
+
+from .net.service import Service
+from .net.told import StartError, read_start
+
+VERSION = "0.2.0"
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="thymedeck", description="A balancer for long-lived connections.")
+    commands = parser.add_subparsers(dest="command", required=True)
+    serve = commands.add_parser("serve", help="serve until SIGTERM")
+    check = commands.add_parser("check", help="read the configuration and say whether it can be used")
+    for one in (serve, check):
+        one.add_argument("--config", default=os.environ.get("LB_CONFIG"), help="its file (LB_CONFIG)")
+    commands.add_parser("version", help="print the version")
+    given = parser.parse_args()
+    if given.command == "version":
+        print(VERSION)
+        return 0
+    try:
+        if not given.config:
+            raise StartError("no configuration: name its file with --config or LB_CONFIG")
+        start = read_start(given.config)
+        if given.command == "check":
+            print(f"{given.config}: ok, {len(start.told.settings.listeners)} listeners")
+            return 0
+        Service(start).serve()
+    except StartError as why:
+        print(f"thymedeck: {why}", file=sys.stderr)
+        return 2
+    except OSError as why:
+        print(f"thymedeck: can't serve: {why}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/thymedeck/benchlink.py
+++ b/thymedeck/benchlink.py
@@ -13,13 +13,8 @@
 from . import interface as own
 from . import wire
 from .policy import Balancer
+from .stated import LEAST_WEIGHT, deployment, down
 
-EFFECTS = {
-    "pure": own.Effect.REPEATABLE,
-    "token": own.Effect.REFERENCED,
-    "side_effect": own.Effect.ONCE_ONLY,
-}
-SCOPES = {"all": own.Scope.ALL, "zone": own.Scope.ZONE, "cell": own.Scope.CELL}
 STATES = {"ready": own.State.READY, "draining": own.State.DRAINING, "gone": own.State.GONE}
 LIST_KINDS = {
     "INCREMENTAL": own.ListKind.CHANGES,
@@ -37,8 +32,6 @@
     "CANCELLED": own.Outcome.CANCELLED,
     "TOO_LATE": own.Outcome.UNSENT,
 }
-NO_AIM = 10_000_000.0
-LEAST_WEIGHT = 1e-6
 
 
 class RawBatch(msgspec.Struct):
@@ -59,51 +52,6 @@
 encode = msgspec.json.Encoder().encode
 
 
-def down(us: float) -> int:
-    return int(us // 100)
-
-
-def up(us: float) -> int:
-    return int(-(-us // 100))
-
-
-def deployment(env: wire.Env) -> own.Deployment:
-    aims = env.extra.message_aim_us
-    listeners = tuple(
-        own.Listener(
-            handshake_target=down(li.handshake_target_us),
-            dial_timeout=down(li.deadline_us),
-            # An effect or a scope that is not known is taken for the strictest.
-            effect=EFFECTS.get(li.effect, own.Effect.ONCE_ONLY),
-            scope=SCOPES.get(li.dedup_scope, own.Scope.CELL),
-            memory=down(li.memory_span_us),
-            utility=li.utility,
-            message_aim=down(aims[at] if at < len(aims) else NO_AIM),
-        )
-        for at, li in enumerate(env.listeners)
-    )
-    limits, contract = env.limits, env.contract
-    return own.Deployment(
-        listeners=listeners,
-        zone=env.zone,
-        replicas=max(env.replicas_of_me, 1),
-        tick=up(env.tick_us),
-        connect_timeout=up(limits.dial_timeout_us),
-        max_dials=limits.max_dials,
-        may_probe=limits.probes and "x0" in env.report.fields,
-        come_back_max=down(limits.max_retry_after_us) if limits.retry_after else 0,
-        list_on_request=env.discovery == "on_request",
-        ask_within=down(contract.ask_within_us),
-        cold_share=contract.start_capacity,
-        warm_after=up(contract.warm_after_us),
-        fall_multiple=contract.overload_factor,
-        fall_window=up(contract.overload_for_us),
-        present_load=env.extra.tells_load,
-        passes_through=env.extra.mode == "pass",
-        crossing_price=env.prices.cross_zone,
-    )
-
-
 class Link:
     """One balancer's side of the wire, from its start to its end."""
 
--- /dev/null
+++ b/thymedeck/net/clients.py
@@ -0,0 +1,233 @@
+"""The clients' side: the listening socket, and each client's connection from its first line to its end."""
+
+import errno
+import socket
+from typing import TYPE_CHECKING
+
+from .connection import Connection
+from .endings import Ending
+from .lines import Garbled, Lines
+from .loop import READ
+from .servers import Dialled
+
+if TYPE_CHECKING:
+    from .service import Service
+
+FIRST_LINE_WITHIN = 100_000
+FULL_PAUSE = 500  # nothing is taken in for so long when there are no sockets left
+LINGER = 10_000  # the other side gets so long to read the last bytes
+HALF_OPEN = 50_000  # a connection with one side ended is kept so long
+MOVE_WITHIN = 3_000  # for a line to end, so that MOVE comes between two
+BACKLOG = 512
+AT_ONCE = 64  # connections taken in before others have their turn
+
+
+class Door:
+    """The listening socket."""
+
+    def __init__(self, service: "Service", address: tuple[str, int]) -> None:
+        self.service = service
+        self.sock = socket.create_server(address, backlog=BACKLOG, reuse_port=False)
+        self.sock.setblocking(False)
+        self.mask = 0
+        self.is_open = True
+        self.await_clients()
+
+    def await_clients(self) -> None:
+        if self.is_open:
+            self.service.loop.watch(self.sock, self.mask, READ, self)
+            self.mask = READ
+
+    def ready(self, mask: int) -> None:
+        for _ in range(AT_ONCE):
+            try:
+                sock, _ = self.sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionError):
+                return
+            except OSError as why:
+                # Guards against spinning on a connection that can't be taken in for want of sockets.
+                if why.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    self.service.log("no_sockets")
+                    self.service.loop.watch(self.sock, self.mask, 0, self)
+                    self.mask = 0
+                    self.service.loop.after(FULL_PAUSE, self.await_clients)
+                return
+            Client(self.service, sock)
+
+    def close(self) -> None:
+        if self.is_open:
+            self.service.loop.watch(self.sock, self.mask, 0, self)
+            self.is_open = False
+            self.sock.close()
+
+
+class Client(Connection):
+    def __init__(self, service: "Service", sock: socket.socket) -> None:
+        super().__init__(service.loop, sock)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.service = service
+        self.lines = Lines()
+        self.words: list[bytes] = []  # of its first line, without `d`
+        self.sess = -1
+        self.deadline = 0
+        self.fixed = -1  # the server at which it stood before, if any
+        self.fixed_until = 0
+        self.dial: Dialled | None = None
+        self.standing = False
+        self.moving = False
+        self.done = False
+        self.asked_at = -1  # when the first line went on that nothing has come back for
+        self.due = self.loop.after(FIRST_LINE_WITHIN, self.no_line)
+        self.await_more()
+
+    # Before the session stands
+
+    def no_line(self) -> None:
+        self.finish(Ending.IDLE)
+
+    def on_bytes(self, count: int) -> None:
+        if self.standing:
+            if self.asked_at < 0:
+                self.asked_at = self.loop.now()
+            if self.dial is not None:
+                self.dial.flush()
+            return
+        if self.words or self.done:
+            return  # waits in the ring until the session stands
+        try:
+            line = self.lines.first(self.inbound)
+        except Garbled:
+            self.answer(b"ERR line too long\r\n", Ending.MALFORMED)
+            return
+        if line is None:
+            return
+        self.inbound.skip(self.inbound.copy(0, len(self.inbound)).find(b"\n") + 1)
+        if line == b"PING":
+            if self.service.is_able:
+                self.say(b"PONG\r\n")
+            else:
+                self.finish(Ending.IDLE)
+            return
+        self.due.cancel()
+        self.service.opened(self, line)
+
+    def dial_line(self, limit: int) -> bytes:
+        """The client's line with the limit of this dial, in whole milliseconds, as its `d`."""
+        verb, ident, key, figures = self.words
+        return b"%s %s %s %s\r\n" % (verb, ident, key, figures.replace(b"\0", b"%d" % (limit // 10)))
+
+    # Answers
+
+    def answer(self, line: bytes, ending: Ending) -> None:
+        """A final answer other than a server's; then the connection ends."""
+        if self.done:
+            return
+        self.say(line)
+        self.finish(ending, linger=True)
+
+    # From the first line of the server on
+
+    def stand(self, dial: Dialled) -> None:
+        """From here on the rings are shared: what the one reads the other writes."""
+        self.standing = True
+        self.outbound = dial.inbound
+        dial.outbound = self.inbound
+        self.partner, dial.partner = dial, self
+        if self.inbound.held:
+            self.asked_at = self.loop.now()
+            dial.flush()
+
+    def answered(self) -> None:
+        if self.asked_at >= 0 and self.dial is not None:
+            self.service.message_took(self.dial.server, self.loop.now() - self.asked_at)
+        self.asked_at = -1
+
+    def on_emptied(self) -> None:
+        if self.moving:
+            self.move()
+        elif self.standing:
+            self.settle()
+
+    def move(self) -> None:
+        """Sends MOVE between two lines and ends both sides."""
+        if self.done or not self.standing or self.dial is None:
+            return
+        if not self.moving:
+            self.moving = True
+            self.due.cancel()
+            self.due = self.loop.after(MOVE_WITHIN, self.move_overdue)
+        if self.dial.lines.between and self.outbound.put(b"MOVE\r\n"):
+            self.move_done()
+
+    def move_done(self) -> None:
+        self.dial.deaf = True  # the shared ring takes nothing more from the server
+        self.flush()
+        self.finish(Ending.MOVED, linger=True)
+
+    def move_overdue(self) -> None:
+        self.finish(Ending.MOVED)
+
+    def server_ended(self, word: Ending) -> None:
+        """The server has ended its sending, so do we once all is passed on."""
+        self.service.session_over(self, word)
+        self.end_sending()
+        self.half_open(HALF_OPEN)
+
+    def half_open(self, wait: int) -> None:
+        """One side has ended: the other may go on for a while."""
+        self.due.cancel()
+        self.due = self.loop.after(wait, self.close_both)
+        self.settle()
+
+    def settle(self) -> None:
+        dial = self.dial
+        if self.heard_end and (dial is None or (dial.heard_end and not self.outbound.held)):
+            self.close_both()
+
+    def server_broke(self, word: Ending) -> None:
+        self.flush()
+        self.service.session_over(self, word)
+        self.done = True
+        self.due.cancel()
+        if self.dial is not None:
+            self.dial.close()
+        self.close(reset=True)
+
+    def on_end(self) -> None:
+        if not self.standing:
+            self.finish(Ending.CLIENT_LEFT)
+        elif self.dial is None or self.done:
+            self.close_both()
+        else:
+            self.service.session_over(self, Ending.CLIENT_LEFT)
+            self.dial.end_sending()
+            self.half_open(LINGER)
+
+    def on_broken(self) -> None:
+        if self.standing and self.dial is not None:
+            self.service.session_over(self, Ending.CLIENT_BROKE)
+            self.dial.close(reset=True)
+        self.finish(Ending.CLIENT_BROKE)
+
+    def close_both(self) -> None:
+        self.done = True
+        self.due.cancel()
+        if self.dial is not None:
+            self.dial.close()
+        self.close()
+
+    def finish(self, ending: Ending, linger: bool = False) -> None:
+        """Ends the session's client side; told to the decisions if they still hold it."""
+        if self.done:
+            return
+        self.done = True
+        self.due.cancel()
+        self.service.client_over(self, ending)
+        if linger and self.open:
+            # Guards against a reset that overtakes the last line when the client's next bytes come.
+            self.deaf = True
+            self.partner = None
+            self.end_sending()
+            self.due = self.loop.after(LINGER, self.close)
+        else:
+            self.close()
--- /dev/null
+++ b/thymedeck/net/log.py
@@ -0,0 +1,30 @@
+"""The log: one JSON line an event, on standard output."""
+
+import os
+import time
+import traceback
+from typing import Any
+
+import orjson
+
+
+class EventLog:
+    def __init__(self, name: str, fd: int = 1) -> None:
+        self.name = name
+        self.fd = fd
+        self.dropped = 0
+        os.set_blocking(fd, False)
+
+    def __call__(self, event: str, **more: Any) -> None:  # noqa: ANN401 (any value that JSON can hold)
+        line = {"time": round(time.time(), 4), "balancer": self.name, "event": event, **more}
+        if self.dropped:
+            line["dropped"] = self.dropped
+        try:
+            os.write(self.fd, orjson.dumps(line, default=str) + b"\n")
+            self.dropped = 0
+        except OSError:
+            # Guards against a reader of the log that has stopped: a line is dropped, the loop goes on.
+            self.dropped += 1
+
+    def fault(self, fault: BaseException) -> None:
+        self("fault", text="".join(traceback.format_exception(fault))[-3000:])
--- /dev/null
+++ b/thymedeck/net/loop.py
@@ -0,0 +1,87 @@
+"""The one loop: the selectors module, a monotonic clock in tenths of a millisecond, a heap of timers."""
+
+import heapq
+import selectors
+import socket
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
+
+
+class Ready(Protocol):
+    def ready(self, mask: int) -> None: ...
+
+
+class Due:
+    """A timer that is out; `cancel` makes it do nothing."""
+
+    __slots__ = ("at", "call")
+
+    def __init__(self, at: int, call: Callable[[], None]) -> None:
+        self.at = at
+        self.call: Callable[[], None] | None = call
+
+    def cancel(self) -> None:
+        self.call = None
+
+
+class Loop:
+    def __init__(self, on_fault: Callable[[BaseException], None]) -> None:
+        self.selector = selectors.DefaultSelector()
+        self.timers: list[tuple[int, int, Due]] = []
+        self.count = 0
+        self.on_fault = on_fault
+        self.running = False
+
+    @staticmethod
+    def now() -> int:
+        return time.monotonic_ns() // 100_000
+
+    def after(self, wait: int, call: Callable[[], None]) -> Due:
+        due = Due(self.now() + max(wait, 0), call)
+        self.count += 1
+        heapq.heappush(self.timers, (due.at, self.count, due))
+        return due
+
+    def watch(self, sock: socket.socket, before: int, mask: int, ready: Ready) -> None:
+        """Changes what is awaited of a socket from the mask before to this one; 0 is nothing."""
+        if mask == before:
+            return
+        if not before:
+            self.selector.register(sock, mask, ready)
+        elif not mask:
+            self.selector.unregister(sock)
+        else:
+            self.selector.modify(sock, mask, ready)
+
+    def run(self) -> None:
+        self.running = True
+        while self.running:
+            self.turn()
+
+    def turn(self) -> None:
+        timers = self.timers
+        while timers and timers[0][2].call is None:
+            heapq.heappop(timers)
+        # A timer is never early: what is left of its tenth is waited for too.
+        wait = max(timers[0][0] + 1 - self.now(), 0) / 10_000 if timers else None
+        for key, mask in self.selector.select(wait):
+            if mask & key.events:
+                self.guard(lambda ready=key.data, mask=mask: ready.ready(mask))
+        now = self.now()
+        while timers and timers[0][0] <= now:
+            call = heapq.heappop(timers)[2].call
+            if call is not None:
+                self.guard(call)
+
+    def guard(self, call: Callable[[], None]) -> None:
+        """Guards against one connection whose handling fails and stops all others."""
+        try:
+            call()
+        except Exception as fault:
+            self.on_fault(fault)
+
+    def stop(self) -> None:
+        self.running = False
--- /dev/null
+++ b/thymedeck/net/serverlist.py
@@ -0,0 +1,159 @@
+"""The list of servers: calls over HTTP, and a watch that is kept alive by the next call in time."""
+
+import errno
+import socket
+from typing import TYPE_CHECKING, Any
+
+import httptools
+import msgspec
+
+from .connection import Connection
+from .loop import Loop
+from .told import Listing
+
+if TYPE_CHECKING:
+    from .service import Service
+
+PATH = "/registry/instances"
+CONNECT_WITHIN = 10_000
+ANSWER_WITHIN = 20_000  # beyond the wait that was asked for
+LONGEST_WAIT = 600_000
+LARGEST_ANSWER = 8 << 20
+
+decode = msgspec.json.Decoder(Listing).decode
+
+
+class Call(Connection):
+    """A connection to discovery, kept for one call after another."""
+
+    def __init__(self, loop: Loop, follower: "Follower", address: tuple[str, int]) -> None:
+        super().__init__(loop, socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        self.follower = follower
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.due = self.loop.after(CONNECT_WITHIN, self.overdue)
+        self.renew()
+        self.connecting = True
+        failed = self.sock.connect_ex(address)
+        self.refused = failed not in (0, errno.EINPROGRESS)
+
+    def renew(self) -> None:
+        self.parser: Any = httptools.HttpResponseParser(self)
+        self.body = bytearray()
+
+    def ask(self, target: str, host: str, wait: int) -> None:
+        self.renew()
+        self.due.cancel()
+        self.due = self.loop.after(
+            wait + (CONNECT_WITHIN if self.connecting else ANSWER_WITHIN), self.overdue
+        )
+        self.wait = wait
+        self.outbound.put(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+        if self.refused:
+            self.lost("connection refused")
+        elif self.connecting:
+            self.await_more()
+        else:
+            self.flush()
+
+    def on_up(self) -> None:
+        self.due.cancel()
+        self.due = self.loop.after(self.wait + ANSWER_WITHIN, self.overdue)
+
+    def on_bytes(self, count: int) -> None:
+        data = self.inbound.copy(0, len(self.inbound))
+        self.inbound.skip(len(data))
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError as why:
+            self.lost(f"no HTTP: {why}")
+
+    def on_body(self, data: bytes) -> None:
+        self.body += data
+        if len(self.body) > LARGEST_ANSWER:
+            raise ValueError("answer too large")
+
+    def on_message_complete(self) -> None:
+        self.due.cancel()
+        # The parser is left before the next call begins.
+        status, body, again = self.parser.get_status_code(), bytes(self.body), self.parser.should_keep_alive()
+        self.loop.after(0, lambda: self.follower.answered(self, status, body, again))
+
+    def on_end(self) -> None:
+        self.lost("ended")
+
+    def on_broken(self) -> None:
+        self.lost("broken")
+
+    def overdue(self) -> None:
+        self.lost("no answer")
+
+    def lost(self, why: str) -> None:
+        self.due.cancel()
+        self.close()
+        self.follower.call_lost(self, why)
+
+
+class Follower:
+    """Follows the list while the decisions want it."""
+
+    def __init__(self, service: "Service", address: tuple[str, int], wait: int, version: int) -> None:
+        self.service = service
+        self.address = address
+        self.wait = min(wait, LONGEST_WAIT)
+        self.version = version
+        self.call: Call | None = None
+        self.following = False
+
+    def follow(self) -> None:
+        """Asks what has changed since, without waiting; then watches."""
+        if not self.following:
+            self.following = True
+            self.ask(0)
+
+    def ask(self, wait: int) -> None:
+        target = PATH
+        if self.version >= 0:
+            target += f"?index={self.version}&wait={wait // 10}"
+        host = f"{self.address[0]}:{self.address[1]}"
+        if self.call is None:
+            self.call = Call(self.service.loop, self, self.address)
+        self.call.ask(target, host, wait)
+
+    def answered(self, call: Call, status: int, body: bytes, again: bool) -> None:
+        if call is not self.call:
+            return
+        if status != 200:
+            self.failed(f"status {status}")
+            return
+        try:
+            listing = decode(body)
+        except msgspec.MsgspecError as why:
+            # The next call asks for the whole list, in case the version is what is wrong.
+            self.version = -1
+            self.failed(f"bad answer: {why}")
+            return
+        if not again:
+            call.close()
+            self.call = None
+        self.version = listing.version
+        # The watch goes on before the answer is worked through, as it ends if the next call is late.
+        self.ask(self.wait)
+        self.service.listed(listing)
+
+    def call_lost(self, call: Call, why: str) -> None:
+        if call is self.call:
+            self.failed(why)
+
+    def failed(self, why: str) -> None:
+        if self.call is not None:
+            self.call.due.cancel()
+            self.call.close()
+        self.call = None
+        self.following = False
+        self.service.list_failed(why)
+
+    def close(self) -> None:
+        if self.call is not None:
+            self.call.due.cancel()
+            self.call.close()
+            self.call = None
--- /dev/null
+++ b/thymedeck/net/servers.py
@@ -0,0 +1,137 @@
+"""The servers' side: a connection for each dial, and what is learnt of each server from its lines."""
+
+import errno
+import os
+import socket
+from collections import deque
+from typing import TYPE_CHECKING
+
+from .connection import Connection
+from .endings import Ending
+from .lines import Lines
+
+if TYPE_CHECKING:
+    from .clients import Client
+    from .service import Service
+
+SAMPLES = 16  # of the message delay, kept of each server until it is told
+
+
+class Known:
+    """A server by its index at the decisions' door."""
+
+    __slots__ = ("address", "delays", "standing")
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.address = address
+        self.delays: deque[int] = deque(maxlen=SAMPLES)
+        self.standing: set[Client] = set()
+
+
+class Dialled(Connection):
+    """One dial: up to the server's first line it may fail, from then on it carries the session."""
+
+    def __init__(
+        self, service: "Service", client: "Client", server: int, connect_within: int, limit: int
+    ) -> None:
+        super().__init__(service.loop, socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        self.service = service
+        self.client = client
+        self.server = server
+        self.began = self.loop.now()
+        self.sent = False  # the line's last byte was written
+        self.standing = False
+        self.over = False  # its ending has been told
+        self.lines = Lines()
+        self.last_word = Ending.SERVER_ENDED  # what its end would mean now
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.connect_due = self.loop.after(connect_within, self.not_up_in_time)
+        self.limit_due = self.loop.after(limit, self.limit_passed)
+
+    def start(self, line: bytes) -> None:
+        self.connecting = True
+        self.outbound.put(line)
+        failed = self.sock.connect_ex(self.service.servers[self.server].address)
+        if failed not in (0, errno.EINPROGRESS):
+            self.service.log("no_connect", server=self.server, why=os.strerror(failed))
+            self.finish(Ending.NOT_UP)
+            return
+        self.await_more()
+
+    def on_up(self) -> None:
+        self.connect_due.cancel()
+
+    def on_emptied(self) -> None:
+        self.sent = True
+
+    def not_up_in_time(self) -> None:
+        if self.connecting:
+            self.finish(Ending.NOT_UP)
+
+    def limit_passed(self) -> None:
+        self.finish(Ending.GIVEN_UP if self.sent else Ending.CUT_UNSENT)
+
+    def on_bytes(self, count: int) -> None:
+        if self.standing:
+            self.learn(count)
+            self.client.flush()
+            return
+        line = self.lines.first(self.inbound)
+        if line is None:
+            return
+        word = line.split(b" ", 1)[0]
+        if word == b"UP":
+            self.stand()
+        elif word == b"BUSY":
+            self.finish(Ending.TURNED_AWAY)
+        elif word == b"MOVE":
+            self.finish(Ending.SENT_AWAY)
+        else:
+            self.finish(Ending.ERRED)
+
+    def stand(self) -> None:
+        self.limit_due.cancel()
+        self.connect_due.cancel()
+        self.standing = True
+        self.service.stands(self, self.loop.now() - self.began)
+        if self.open:
+            self.learn(len(self.inbound))
+            self.client.flush()
+
+    def learn(self, count: int) -> None:
+        """Reads along for loads, answers and last words; the bytes go on unchanged."""
+        for line in self.lines.take(self.inbound.newest(count)):
+            if line.startswith(b"LOAD "):
+                self.service.load_line(self.client, line)
+                continue
+            if line == b"BYE":
+                self.last_word = Ending.SERVED
+            elif line == b"MOVE":
+                self.last_word = Ending.SENT_AWAY
+            self.client.answered()
+
+    def on_end(self) -> None:
+        if self.standing:
+            self.client.server_ended(self.last_word)
+        else:
+            self.finish(Ending.CUT_SENT if self.sent else Ending.CUT_UNSENT)
+
+    def on_broken(self) -> None:
+        if self.standing:
+            # A server that has said its last word may reset instead of ending.
+            told = self.last_word is not Ending.SERVER_ENDED
+            self.client.server_broke(self.last_word if told else Ending.SERVER_BROKE)
+        elif self.connecting:
+            self.finish(Ending.NOT_UP)
+        else:
+            self.finish(Ending.CUT_SENT if self.sent else Ending.CUT_UNSENT)
+
+    def finish(self, ending: Ending) -> None:
+        """Closes the dial before anything else comes of it: never two are out at once."""
+        if self.over:
+            return
+        self.over = True
+        self.connect_due.cancel()
+        self.limit_due.cancel()
+        self.close()
+        self.service.dial_over(self, ending)
--- /dev/null
+++ b/thymedeck/net/service.py
@@ -0,0 +1,336 @@
+"""One balancer on sockets: turns what happens to connections into events, and actions into what they do."""
+
+import contextlib
+import signal
+import socket
+import time
+from collections import deque
+from dataclasses import replace
+
+from .. import interface as own
+from ..policy import Balancer
+from ..stated import LEAST_WEIGHT, deployment
+from .clients import Client, Door
+from .endings import OUTCOMES, Ending
+from .log import EventLog
+from .loop import READ, Loop
+from .serverlist import Follower
+from .servers import Dialled, Known
+from .told import Listing, Start, address
+
+SECOND = 10_000
+STATES = {"SERVING": own.State.READY, "DRAINING": own.State.DRAINING, "DELETED": own.State.GONE}
+FIXED_WITHIN = 35 * SECOND  # for a session that stood before to be up again
+FIXED_PAUSE = 2_000
+SILENT = 5 * SECOND  # a line that nothing has come back for so long tells of a connection that is dead
+STILL_ACCEPTING = 5_000  # after the signal to stop, as the front notices late
+LONGEST_STOP = 3 * SECOND
+STOP_RESERVE = 3_000  # left when the process ends before it could be killed
+
+
+class Wakeup:
+    """Signals, heard by the loop."""
+
+    def __init__(self, service: "Service") -> None:
+        self.service = service
+        self.sock, self.far = socket.socketpair()
+        for one in (self.sock, self.far):
+            one.setblocking(False)
+        signal.set_wakeup_fd(self.far.fileno(), warn_on_full_buffer=False)
+        for which in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(which, lambda *_: None)
+        service.loop.watch(self.sock, 0, READ, self)
+
+    def ready(self, mask: int) -> None:
+        with contextlib.suppress(BlockingIOError):
+            self.sock.recv(64)
+        self.service.stop()
+
+
+class Service:
+    def __init__(self, start: Start) -> None:
+        told = start.told
+        env = told.settings
+        self.log = EventLog(told.name)
+        self.loop = Loop(self.log.fault)
+        # The protocol has no probes, and connections end here.
+        self.site = replace(deployment(env), may_probe=False, passes_through=False)
+        self.balancer = Balancer(start.seed, self.site)
+        self.listeners = {one.name.encode(): at for at, one in enumerate(env.listeners)}
+        self.zones = {name: at for at, name in enumerate(env.zones)}
+        self.since_unix = self.loop.now() - time.time_ns() // 100_000
+        self.server_index: dict[str, int] = {}
+        self.servers: list[Known] = []
+        self.clients: dict[int, Client] = {}
+        self.next_sess = 0
+        self.events: deque[own.Event] = deque()
+        self.telling = False
+        self.is_able = False
+        self.stopping = False
+        self.door: Door | None = None
+        version = -1 if told.known is None else told.known.version
+        self.follower = Follower(self, start.discovery, self.site.ask_within // 2, version)
+        self.listen = start.listen
+        if told.known is not None:
+            self.take_list(told.known, own.ListKind.SAVED)
+        if not self.site.list_on_request:
+            self.follower.follow()
+
+    def serve(self) -> None:
+        self.wakeup = Wakeup(self)
+        self.door = Door(self, self.listen)
+        self.is_able = True
+        self.loop.after(SECOND, self.each_second)
+        self.log("started", listen="{}:{}".format(*self.listen), servers=len(self.servers))
+        self.loop.run()
+        self.log("stopped")
+
+    # The decisions
+
+    def tell(self, event: own.Event) -> None:
+        """Guards against an action that brings the next event about before the others are done."""
+        self.events.append(event)
+        if self.telling:
+            return
+        self.telling = True
+        try:
+            while self.events:
+                for action in self.balancer.handle(self.loop.now(), self.events.popleft()):
+                    self.carry_out(action)
+        finally:
+            self.telling = False
+
+    def carry_out(self, action: own.Action) -> None:
+        match action:
+            case own.Dial():
+                self.dial(self.clients[action.sess], action.server, action.limit)
+            case own.SetTimer():
+                due = own.TimerDue(action.timer, action.index)
+                self.loop.after(action.after, lambda: self.tell(due))
+            case own.Refuse():
+                line = b"BUSY %d\r\n" % (action.come_back // 10) if action.come_back else b"BUSY\r\n"
+                self.answer(action.sess, line)
+            case own.TearDown():
+                self.answer(action.sess, b"ERR no server\r\n")
+            case own.Move():
+                client = self.clients.get(action.sess)
+                if client is not None:
+                    client.move()
+            case own.FollowList():
+                self.follower.follow()
+            case own.Log():
+                self.log("mode", text=action.text)
+
+    def answer(self, sess: int, line: bytes) -> None:
+        client = self.clients.pop(sess, None)
+        if client is not None:
+            client.answer(line, Ending.ANSWERED)
+
+    # Sessions
+
+    def opened(self, client: Client, line: bytes) -> None:
+        words = line.split(b" ")
+        try:
+            verb, ident, key, text = words
+            pairs = [one.partition(b"=") for one in text.split(b",")]
+            figures = {name: value for name, _, value in pairs}
+            wait = int(figures[b"d"])
+            listener = self.listeners[figures[b"c"]]
+            hint = float(figures[b"h"]) if b"h" in figures else None
+            if verb != b"OPEN" or wait < 0 or b"\0" in line:
+                raise ValueError
+        except (ValueError, KeyError):
+            # Guards against a peer that speaks something else: it is told so, and the loop goes on.
+            self.log("malformed", line=line[:200].decode("latin-1"))
+            client.answer(b"ERR malformed\r\n", Ending.MALFORMED)
+            return
+        shown = [(name, b"\0" if name == b"d" else value) for name, _, value in pairs]
+        client.words = [verb, ident, key, b",".join(b"%s=%s" % pair for pair in shown)]
+        subject = key.decode("latin-1")
+        sess = client.sess = self.next_sess
+        self.next_sess += 1
+        if b"at" in figures:
+            server = self.server_index.get(figures[b"at"].decode("latin-1"))
+            if server is None:
+                client.answer(b"ERR no such server\r\n", Ending.ANSWERED)
+                return
+            self.clients[sess] = client
+            client.fixed = server
+            client.fixed_until = self.loop.now() + FIXED_WITHIN
+            self.tell(own.SessionStands(sess, listener, hint, subject, server))
+            self.dial_fixed(client)
+            return
+        self.clients[sess] = client
+        self.tell(own.SessionCame(sess, listener, wait * 10, hint, subject, figures.get(b"mid_flow") == b"1"))
+
+    def dial(self, client: Client, server: int, limit: int) -> None:
+        try:
+            client.dial = Dialled(self, client, server, self.site.connect_timeout, limit)
+        except OSError as why:
+            self.log("no_sockets", why=str(why))
+            self.tell(own.DialEnded(client.sess, server, OUTCOMES[Ending.NO_SOCKET], False, None))
+            return
+        client.dial.start(client.dial_line(limit))
+
+    def dial_fixed(self, client: Client) -> None:
+        if client.done:
+            return
+        left = client.fixed_until - self.loop.now()
+        try:
+            client.dial = Dialled(self, client, client.fixed, left, left)
+        except OSError:
+            self.loop.after(FIXED_PAUSE, lambda: self.dial_fixed(client))
+            return
+        client.dial.start(client.dial_line(left))
+
+    def stands(self, dial: Dialled, took: int) -> None:
+        client = dial.client
+        client.stand(dial)
+        self.servers[dial.server].standing.add(client)
+        if client.fixed < 0:
+            self.tell(own.Established(client.sess, dial.server, took))
+        if self.stopping:
+            client.move()
+
+    def dial_over(self, dial: Dialled, ending: Ending) -> None:
+        client = dial.client
+        client.dial = None
+        if client.sess not in self.clients:
+            return
+        self.log("dial", sess=client.sess, server=dial.server, ending=ending.name, sent=dial.sent)
+        outcome = OUTCOMES[ending]
+        if client.fixed >= 0:
+            if outcome in own.NEVER_RAN and self.loop.now() + FIXED_PAUSE < client.fixed_until:
+                self.loop.after(FIXED_PAUSE, lambda: self.dial_fixed(client))
+                return
+            del self.clients[client.sess]
+            self.tell(own.DialEnded(client.sess, dial.server, outcome, True, None))
+            client.answer(b"ERR not up\r\n", Ending.ANSWERED)
+            return
+        self.tell(own.DialEnded(client.sess, dial.server, outcome, client.done, None))
+
+    def client_over(self, client: Client, ending: Ending) -> None:
+        """The client's side has ended; what is left of the session ends with it."""
+        dial = client.dial
+        if client.standing:
+            self.session_over(client, ending)
+            if dial is not None:
+                dial.close()
+        elif self.clients.pop(client.sess, None) is not None:
+            self.tell(own.SessionLeft(client.sess))
+            if dial is not None:
+                dial.finish(ending)
+                self.tell(own.DialEnded(client.sess, dial.server, OUTCOMES[ending], True, None))
+
+    def session_over(self, client: Client, ending: Ending) -> None:
+        """A standing session has ended, told once."""
+        if self.clients.pop(client.sess, None) is None or client.dial is None:
+            return
+        server = client.dial.server
+        self.servers[server].standing.discard(client)
+        self.log("session", sess=client.sess, server=server, ending=ending.name)
+        self.tell(own.DialEnded(client.sess, server, OUTCOMES[ending], True, None))
+
+    # What lines tell
+
+    def load_line(self, client: Client, line: bytes) -> None:
+        try:
+            load = float(line[5:])
+        except ValueError:
+            return
+        if 0 <= load < 1e12 and client.sess in self.clients:
+            self.tell(own.LoadTold(client.sess, load))
+
+    def message_took(self, server: int, took: int) -> None:
+        self.servers[server].delays.append(took)
+
+    def each_second(self) -> None:
+        """Tells what messages take at each server, from answers and from what is still unanswered."""
+        self.loop.after(SECOND, self.each_second)
+        now = self.loop.now()
+        for index, server in enumerate(self.servers):
+            late = [c for c in server.standing if c.asked_at >= 0]
+            delays = sorted([*server.delays, *(now - c.asked_at for c in late)])
+            server.delays.clear()
+            if delays:
+                client = next(iter(late or server.standing), None)
+                sess = -1 if client is None else client.sess
+                self.tell(own.DelayTold(sess, index, delays[len(delays) // 2]))
+            for client in late:
+                if now - client.asked_at >= SILENT:
+                    self.log("silent", sess=client.sess, server=index)
+                    client.move()
+
+    # The list
+
+    def listed(self, listing: Listing) -> None:
+        kind = own.ListKind.WHOLE if listing.full else own.ListKind.CHANGES
+        self.take_list(listing, kind)
+
+    def take_list(self, listing: Listing, kind: own.ListKind) -> None:
+        entries = []
+        for row in listing.servers:
+            index = self.server_index.get(row.id)
+            try:
+                place = address(row.addr)
+            except ValueError:
+                if index is None:
+                    self.log("bad_address", server=row.id, address=row.addr)
+                    continue
+                place = self.servers[index].address
+            if index is None:
+                index = self.server_index[row.id] = len(self.servers)
+                self.servers.append(Known(place))
+            self.servers[index].address = place
+            state = STATES.get(row.state, own.State.DRAINING)
+            started = max(int(row.started_ms * 10) + self.since_unix, 1) if row.started_ms > 0 else 0
+            weight = max(row.weight, LEAST_WEIGHT)
+            entries.append(own.Entry(index, self.zones.get(row.zone, -1), row.cell, state, started, weight))
+            self.log("listed", kind=kind.name, server=index, id=row.id, state=row.state, started=started)
+        self.tell(own.ServerList(kind, entries))
+
+    def list_failed(self, why: str) -> None:
+        self.log("list_failed", why=why)
+        self.tell(own.ServerList(own.ListKind.FAILED, []))
+        if not self.site.list_on_request:
+            self.loop.after(SECOND, self.follower.follow)
+
+    # The end
+
+    def stop(self) -> None:
+        """Goes on taking in while the front notices, answers all, moves every session, and ends in time."""
+        if self.stopping:
+            return
+        self.stopping = True
+        self.is_able = False
+        longest = max(listener.dial_timeout for listener in self.site.listeners)
+        self.last = self.loop.now() + min(longest, LONGEST_STOP) + 7_000 - STOP_RESERVE
+        self.log("stopping", sessions=len(self.clients))
+        self.loop.after(STILL_ACCEPTING, self.leave)
+
+    def leave(self) -> None:
+        if self.door is not None:
+            self.door.close()
+        self.follower.close()
+        standing = [client for client in self.clients.values() if client.standing]
+        span = max(self.last - self.loop.now() - SECOND, 0) // 2
+        for at, client in enumerate(standing):
+            self.loop.after(span * at // len(standing), client.move)
+        self.loop.after(max(self.last - self.loop.now() - SECOND // 2, 0), self.answer_rest)
+        self.end_when_empty()
+
+    def answer_rest(self) -> None:
+        for client in list(self.clients.values()):
+            if client.standing:
+                client.move()
+            else:
+                client.answer(b"ERR stopping\r\n", Ending.STOPPED)
+
+    def end_when_empty(self) -> None:
+        now = self.loop.now()
+        if now >= self.last:
+            self.loop.stop()
+        elif not self.clients:
+            self.loop.after(min(2_000, self.last - now), self.loop.stop)
+        else:
+            self.loop.after(200, self.end_when_empty)
--- /dev/null
+++ b/thymedeck/net/told.py
@@ -0,0 +1,77 @@
+"""What a balancer is told at its start, read from its file of JSON."""
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from ..stated import Env
+
+
+class StartError(Exception):
+    """What the balancer was told at its start can't be used; the text says why."""
+
+
+class Row(msgspec.Struct):
+    """A server in the list."""
+
+    id: str
+    addr: str = ""
+    zone: str = ""
+    cell: int = 0
+    state: str = "SERVING"
+    weight: float = 1.0
+    started_ms: float = 0.0
+
+
+class Listing(msgspec.Struct):
+    version: int
+    full: bool = False
+    servers: list[Row] = []
+
+
+class Allowed(msgspec.Struct):
+    sockets: int = 0
+
+
+class Told(msgspec.Struct):
+    name: str
+    listen: str
+    discovery: str
+    settings: Env
+    seed: str = "0"
+    known: Listing | None = None
+    limits: Allowed = msgspec.field(default_factory=Allowed)
+
+
+@dataclass(frozen=True)
+class Start:
+    told: Told
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+
+
+def address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ValueError(f"{text!r} is no address with a port")
+    return host, int(port)
+
+
+def read_start(path: str) -> Start:
+    """Environment variables win over the file, as they are what the platform sets last."""
+    try:
+        told = msgspec.json.decode(Path(path).read_bytes(), type=Told)
+        listen = address(os.environ.get("LB_LISTEN", told.listen))
+        discovery = address(os.environ.get("LB_DISCOVERY", told.discovery))
+        told.name = os.environ.get("LB_NAME", told.name)
+        seed = int(told.seed, 16)
+        if not told.settings.listeners:
+            raise ValueError("the settings name no listeners")
+    except OSError as why:
+        raise StartError(f"{path}: {why.strerror}") from why
+    except (ValueError, msgspec.MsgspecError) as why:
+        raise StartError(f"{path}: {why}") from why
+    return Start(told, listen, discovery, seed)
--- a/thymedeck/wire.py
+++ b/thymedeck/wire.py
@@ -1,63 +1,13 @@
 """The simulator's messages as they stand on the wire. Its names and units end in this file and benchlink."""
 
-from msgspec import Struct, field
+from msgspec import Struct
+
+from .stated import Env
 
 NOTE_LOAD = 1
 NOTE_DELAY = 2
 
 
-class Listener(Struct):
-    handshake_target_us: int
-    deadline_us: int
-    effect: str
-    utility: float
-    dedup_scope: str = "all"
-    memory_span_us: int = 0
-
-
-class Extra(Struct):
-    message_aim_us: list[float] = []
-    mode: str = "proxy"
-    tells_load: bool = False
-
-
-class Limits(Struct):
-    max_dials: int
-    dial_timeout_us: int = 0
-    probes: bool = False
-    retry_after: bool = False
-    max_retry_after_us: int = 0
-
-
-class Contract(Struct):
-    ask_within_us: int = 10_000_000
-    start_capacity: float = 1.0
-    warm_after_us: int = 0
-    overload_factor: float = 1.0
-    overload_for_us: int = 0
-
-
-class Report(Struct):
-    fields: list[str] = []
-
-
-class Prices(Struct):
-    cross_zone: float = 0.0
-
-
-class Env(Struct):
-    listeners: list[Listener]
-    limits: Limits
-    contract: Contract
-    tick_us: int
-    discovery: str = "pushed"
-    extra: Extra = field(default_factory=Extra)
-    prices: Prices = field(default_factory=Prices)
-    report: Report = field(default_factory=Report)
-    zone: int = 0
-    replicas_of_me: int = 1
-
-
 class Entry(Struct):
     server: int
     region_part: int = 0
