MOVE is sent once: the callback of an emptied ring no longer moves again

Seen: moved sessions were logged as broken by the client; the emptied ring called move again from within move until the stack or the client gave way.

--- a/thymedeck/net/clients.py
+++ b/thymedeck/net/clients.py
@@ -160,8 +160,9 @@
             self.move_done()
 
     def move_done(self) -> None:
-        self.dial.deaf = True  # the shared ring takes nothing more from the server
-        self.flush()
+        self.moving = False
+        if self.dial is not None:
+            self.dial.deaf = True  # the shared ring takes nothing more from the server
         self.finish(Ending.MOVED, linger=True)
 
     def move_overdue(self) -> None:
