--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -188,6 +188,7 @@
         client.stand(dial)
         self.servers[dial.server].standing.add(client)
         if client.fixed < 0:
+            self.log("up", sess=client.sess, server=dial.server, took=took)
             self.tell(own.Established(client.sess, dial.server, took))
         if self.stopping:
             client.move()
