--- a/thymedeck/interface.py
+++ b/thymedeck/interface.py
@@ -85,6 +85,7 @@
     fall_multiple: float
     fall_window: int
     present_load: bool
+    tells_delay: bool  # how long messages take is told
     passes_through: bool
     crossing_price: float
 
--- a/thymedeck/net/servers.py
+++ b/thymedeck/net/servers.py
@@ -20,11 +20,12 @@
 class Known:
     """A server by its index at the decisions' door."""
 
-    __slots__ = ("address", "delays", "standing")
+    __slots__ = ("address", "delays", "slow", "standing")
 
     def __init__(self, address: tuple[str, int]) -> None:
         self.address = address
         self.delays: deque[int] = deque(maxlen=SAMPLES)
+        self.slow = False  # its messages were told to be slow
         self.standing: set[Client] = set()
 
 
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -53,8 +53,9 @@
         env = told.settings
         self.log = EventLog(told.name)
         self.loop = Loop(self.log.fault)
-        # The protocol has no probes, and connections end here.
-        self.site = replace(deployment(env), may_probe=False, passes_through=False)
+        # The protocol has no probes and does not tell what messages take; connections end here.
+        self.site = replace(deployment(env), may_probe=False, tells_delay=False, passes_through=False)
+        self.shortest_aim = min(listener.message_aim for listener in self.site.listeners)
         self.balancer = Balancer(start.seed, self.site)
         self.listeners = {one.name.encode(): at for at, one in enumerate(env.listeners)}
         self.zones = {name: at for at, name in enumerate(env.zones)}
@@ -124,6 +125,7 @@
     def answer(self, sess: int, line: bytes) -> None:
         client = self.clients.pop(sess, None)
         if client is not None:
+            self.log("answer", sess=sess, line=line.decode().strip())
             client.answer(line, Ending.ANSWERED)
 
     # Sessions
@@ -149,6 +151,7 @@
         subject = key.decode("latin-1")
         sess = client.sess = self.next_sess
         self.next_sess += 1
+        self.log("came", sess=sess, key=subject, listener=listener, figures=text.decode("latin-1"))
         if b"at" in figures:
             server = self.server_index.get(figures[b"at"].decode("latin-1"))
             if server is None:
@@ -246,7 +249,7 @@
         self.servers[server].delays.append(took)
 
     def each_second(self) -> None:
-        """Tells what messages take at each server, from answers and from what is still unanswered."""
+        """Tells of slow messages, from answers and what is still unanswered, and once when that is over."""
         self.loop.after(SECOND, self.each_second)
         now = self.loop.now()
         for index, server in enumerate(self.servers):
@@ -254,9 +257,12 @@
             delays = sorted([*server.delays, *(now - c.asked_at for c in late)])
             server.delays.clear()
             if delays:
-                client = next(iter(late or server.standing), None)
-                sess = -1 if client is None else client.sess
-                self.tell(own.DelayTold(sess, index, delays[len(delays) // 2]))
+                delay = delays[len(delays) // 2]
+                slow = 3 * delay > self.shortest_aim
+                if slow or server.slow:
+                    client = next(iter(late or server.standing), None)
+                    self.tell(own.DelayTold(-1 if client is None else client.sess, index, delay))
+                server.slow = slow
             for client in late:
                 if now - client.asked_at >= SILENT:
                     self.log("silent", sess=client.sess, server=index)
--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -64,6 +64,7 @@
 LOOK_EVERY = SECOND  # full servers are counted again after this; notes come as often
 RELIEF_PAUSE = 3 * SECOND  # until a report shows what the last moves brought
 LIST_PART = 0.005  # of the time within which the list is to be asked, left to each balancer's call
+SLOW_RUN = 3  # last set-ups at a server that tell of slow messages where nothing else does
 PLANNED_DIALS = 3  # dials for which the time to the dial timeout is divided
 
 
@@ -74,7 +75,7 @@
         "asked_at", "asking", "cell", "crowded", "delay", "dials_out", "full_until", "handicap",
         "handicap_at", "index", "lacking", "most", "over", "pressure", "recent", "relieved_at", "sent",
         "sick", "silent_until", "slow_until", "standing", "started", "state", "told", "told_at_report",
-        "told_until", "trial_at", "trials", "weight", "zone",
+        "told_until", "trial_at", "trials", "waits", "weight", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Entry) -> None:
@@ -110,6 +111,7 @@
         self.relieved_at = -FADE
         self.delay = 0
         self.slow_until = -1
+        self.waits: deque[int] = deque(maxlen=SLOW_RUN)  # of its last set-ups
         self.pressure = 0.0
         self.told_at_report = 0.0
         self.told_until = -1  # how long its last report tells on which side of the cap it is
@@ -165,6 +167,8 @@
         self.homes: dict[str, int] = {}  # subject -> server of a standing session, for packets that move
         self.list_failures = 0
         self.doubt = False
+        self.quickest: dict[int, int] = {}  # set-up by zone
+        self.waits: deque[int] = deque(maxlen=HISTORY)  # what set-ups took beyond these
         self.set_ups: deque[tuple[Server, bool]] = deque(maxlen=FLEET_RECENT)
         self.came: deque[int] = deque((0,), maxlen=RECENT)  # when dials were due lately
         self.setting_up = 0  # dials out
@@ -443,6 +447,8 @@
         server.dials_out -= 1
         self.setting_up -= 1
         self.set_up_went(server, True, late=event.took > self.late_after)
+        if not self.site.tells_delay:
+            self.judge_set_up(server, event.took)
         if sess is None:
             return
         sess.standing = True
@@ -744,9 +750,24 @@
         """So far past its cap that its sessions are served badly whatever else happens."""
         return self.load_now(server) >= 1 or self.delay_now(server) > self.shortest_aim
 
+    def judge_set_up(self, server: Server, took: int) -> None:
+        """Guards against full servers that nobody tells of: set-ups wait for the same cores as messages.
+
+        What the last few took beyond the quickest in that zone is their wait; as far as that is longer than
+        set-ups usually wait it counts as what a message takes.
+        """
+        quickest = self.quickest[server.zone] = min(took, self.quickest.get(server.zone, took))
+        server.waits.append(took - quickest)
+        self.waits.append(took - quickest)
+        if len(server.waits) == SLOW_RUN:
+            usual = sorted(self.waits)[len(self.waits) // 2]
+            self.take_delay(server, sum(server.waits) // SLOW_RUN - usual)
+
     def on_delay(self, event: DelayTold) -> None:
-        server = self.servers[event.server]
-        server.delay = event.delay if 3 * event.delay > self.shortest_aim else 0
+        self.take_delay(self.servers[event.server], event.delay)
+
+    def take_delay(self, server: Server, delay: int) -> None:
+        server.delay = delay if 3 * delay > self.shortest_aim else 0
         server.slow_until = self.now + NOTE_LIFE if server.delay else -1
         if server.delay:
             self.look_round()
@@ -754,13 +775,13 @@
                 # With all of them slow it is not this sum that makes it slow.
                 server.crowded.append((self.now, HEADROOM * server.told))
                 server.most = min(load for _, load in server.crowded)
-        if event.delay <= self.shortest_aim:
+        if delay <= self.shortest_aim:
             server.over = 0
             return
         # The share grows with each further note past the aim: a heavy session that fits no small share
         # must go too, and a hung server is left soon.
         server.over += 1
-        hung = event.delay > self.hung_delay
+        hung = delay > self.hung_delay
         share = MOST_MOVED if hung else min(SHARE_STEP * (1 + server.over), MOST_MOVED)
         self.relieve(server, share, SECOND // 2)
 
--- a/thymedeck/stated.py
+++ b/thymedeck/stated.py
@@ -31,6 +31,7 @@
     message_aim_us: list[float] = []
     mode: str = "proxy"
     tells_load: bool = False
+    tells_delay: bool = True
 
 
 class Limits(Struct):
@@ -111,6 +112,7 @@
         fall_multiple=contract.overload_factor,
         fall_window=up(contract.overload_for_us),
         present_load=env.extra.tells_load,
+        tells_delay=env.extra.tells_delay,
         passes_through=env.extra.mode == "pass",
         crossing_price=env.prices.cross_zone,
     )
