--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -65,6 +65,7 @@
 RELIEF_PAUSE = 3 * SECOND  # until a report shows what the last moves brought
 LIST_PART = 0.005  # of the time within which the list is to be asked, left to each balancer's call
 SLOW_RUN = 3  # last set-ups at a server that tell of slow messages where nothing else does
+UNEVEN = 1.5  # times the others' mean sum, from which a server is relieved where nobody tells of full ones
 PLANNED_DIALS = 3  # dials for which the time to the dial timeout is divided
 
 
@@ -305,6 +306,8 @@
         sess.load = event.load
         if server is not None:
             self.join(sess, server)
+            if not self.site.tells_delay:
+                self.level(server)
 
     # Sessions
 
@@ -824,6 +827,13 @@
                 )
             server.relieved_at = self.now
 
+    def level(self, server: Server) -> None:
+        """Guards against loads that have grown on a slow server which nobody tells of: it gets no set-up."""
+        others = [s for s in self.ready if s is not server and not s.sick]
+        own = self.own_sum(server)
+        if others and own > UNEVEN * (fair := self.mean_sum(others)):
+            self.relieve(server, (own - fair) / own, RELIEF_PAUSE)
+
     def move_order(self, sess: Session, room_elsewhere: bool) -> tuple[float, float]:
         """Heaviest first; where no other server has room, those of the least utility before that."""
         utility = 0.0 if room_elsewhere else self.site.listeners[sess.listener].utility
