--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -377,7 +377,7 @@
 
     def is_unknown(self, server: Server) -> bool:
         """Whether asking could help: no report that tells, and no question just left unanswered."""
-        return not self.is_told(server) and self.now >= server.silent_until
+        return self.now > server.told_until and self.now >= server.silent_until
 
     def ask(self, index: int, server: Server) -> None:
         """Holds the session until the server that it would go to has told its load.
@@ -684,12 +684,9 @@
     def count_sick(self) -> int:
         return sum(s.sick for s in self.ready)
 
-    def is_told(self, server: Server) -> bool:
-        return self.now <= server.told_until
-
     def load_now(self, server: Server) -> float:
         """Load over what the server can do as last reported, 0 where no fresh report tells."""
-        if not self.is_told(server):
+        if self.now > server.told_until:
             return 0.0
         carried = self.own_sum(server)
         others = (self.site.replicas - 1) * self.mean
@@ -729,7 +726,7 @@
         self.with_room = 0
         for server in self.ready:
             pressed = self.is_pressed(server)
-            if server.standing or self.is_told(server):
+            if server.standing or self.now <= server.told_until:
                 heard += 1
                 full += pressed
             if not pressed and not server.sick and server.full_until <= self.now:
@@ -828,11 +825,25 @@
             server.relieved_at = self.now
 
     def level(self, server: Server) -> None:
-        """Guards against loads that have grown on a slow server which nobody tells of: it gets no set-up."""
+        """Guards against loads that have grown on a slow server which nobody tells of: it gets no set-up.
+
+        A session that is most of the surplus stays, as it would only take the surplus along; others go.
+        """
         others = [s for s in self.ready if s is not server and not s.sick]
-        own = self.own_sum(server)
-        if others and own > UNEVEN * (fair := self.mean_sum(others)):
-            self.relieve(server, (own - fair) / own, RELIEF_PAUSE)
+        if not others or self.storm or self.now - server.relieved_at < RELIEF_PAUSE:
+            return
+        own, fair = self.own_sum(server), self.mean_sum(others)
+        surplus = own - fair if own > UNEVEN * fair else 0.0
+        moved = 0
+        for index, sess in sorted(server.standing.items(), key=lambda item: -self.load_of(item[1])):
+            if self.mean / 2 <= self.load_of(sess) <= surplus / 2:
+                surplus -= self.load_of(sess)
+                moved += 1
+                self.out.append(Move(index))
+        if moved:
+            if self.now - server.relieved_at > LOG_PAUSE:
+                self.log(f"server {server.index} carries {own:.0f}, others {fair:.0f}; moving, {moved} first")
+            server.relieved_at = self.now
 
     def move_order(self, sess: Session, room_elsewhere: bool) -> tuple[float, float]:
         """Heaviest first; where no other server has room, those of the least utility before that."""
