Clients of a server that breaks are asked to move; scenarios played on real loopback sockets

A client whose connection breaks comes again within 68 to 1,700 ms, one that is moved within 200; PROTOCOL lets a connection that its server has ended be ended or moved.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -14,7 +14,18 @@
 T is in tenths of a millisecond. `N` names a session, `S` a server; `dial N S` may say `dial N *`.
 """
 
+import json
+import os
+import select
+import socket
+import struct
+import subprocess
+import sys
+import tempfile
+import threading
+import time
 from dataclasses import replace
+from fnmatch import fnmatchcase as fnmatch
 from pathlib import Path
 
 from thymedeck import interface as own
@@ -132,3 +143,253 @@
         kind = type(action).__name__
         numbers = [getattr(action, slot) for slot in action.__slots__]
         return [name.get(kind, kind.lower()), *map(str, numbers)]
+
+
+SETTINGS = {
+    "listeners": [
+        {
+            "name": "chat", "handshake_target_us": 300000, "deadline_us": 2000000, "effect": "pure",
+            "utility": 1.0, "dedup_scope": "all", "memory_span_us": 5000000,
+        }
+    ],
+    "limits": {"max_dials": 4, "dial_timeout_us": 150000},
+    "contract": {
+        "ask_within_us": 400000, "start_capacity": 0.3, "warm_after_us": 8000000, "overload_factor": 2.5,
+        "overload_for_us": 2000000,
+    },
+    "discovery": "on_request", "tick_us": 2000, "extra": {"message_aim_us": [50000], "tells_load": True},
+}  # fmt: skip
+PATIENCE = 6.0  # seconds that a step waits for what it expects
+
+
+class Peer:
+    """A stand-in's end of a connection."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        sock.settimeout(PATIENCE)
+        self.sock = sock
+        self.held = b""
+
+    def line(self) -> str:
+        """The next line, or `end` or `reset`."""
+        try:
+            while b"\r\n" not in self.held:
+                got = self.sock.recv(65536)
+                if not got:
+                    return "end" if not self.held else f"end after {self.held!r}"
+                self.held += got
+        except ConnectionError:
+            return "reset"
+        line, _, self.held = self.held.partition(b"\r\n")
+        return line.decode()
+
+    def exactly(self, count: int) -> bytes:
+        while len(self.held) < count:
+            got = self.sock.recv(65536)
+            assert got, "ended"
+            self.held += got
+        taken, self.held = self.held[:count], self.held[count:]
+        return taken
+
+    def act(self, verb: str, text: str) -> None:
+        if verb == "says":
+            self.sock.sendall(text.encode().decode("unicode_escape").encode() + b"\r\n")
+        elif verb == "sends":
+            self.sock.sendall(text.encode().decode("unicode_escape").encode())
+        elif verb == "gets":
+            got = self.line()
+            assert fnmatch(got, text), f"expected {text!r}, got {got!r}"
+        elif verb == "ends":
+            self.sock.shutdown(socket.SHUT_WR)
+        elif verb == "closes":
+            self.sock.close()
+        elif verb == "resets":
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.sock.close()
+        else:
+            raise AssertionError(f"no step {verb}")
+
+
+class NetPlay:
+    """Plays a scenario on loopback sockets against the program itself.
+
+    known A B:DRAINING C!    the servers known at the start; `!` marks one that refuses connections
+    set KEY=VALUE ...        before `start`: changes the deployment (keys of any of its parts)
+    start                    starts the program and waits until it answers PING
+    client N opens FIGURES   connects and sends OPEN; `client N connects` only connects
+    client N VERB TEXT       says a line, sends bytes, gets a line (a pattern), `end` or `reset`; ends,
+                             closes, resets
+    server N dialled [A]     the next dial comes, for the session of client N (at server A)
+    server N VERB TEXT       the same verbs on the connection of that dial
+    server N fills COUNT     writes so many bytes, which the client reads unchanged
+    figures PATTERN          what the line of the last dial told
+    list asked PATTERN       discovery hears a call for this path
+    list says N KIND A:STATE answers with version N, `changes` or `whole`; `list answers STATUS BODY`,
+                             `list resets`
+    log PATTERN              the program logs such a line
+    stop, exits CODE         SIGTERM; the program ends by itself
+    """
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        self.settings = json.loads(json.dumps(SETTINGS))
+        self.known: list[dict] = []
+        self.doors: dict[str, socket.socket] = {}
+        self.clients: dict[str, Peer] = {}
+        self.dials: dict[str, Peer] = {}
+        self.discovery = self.listen()
+        self.calls: list[Peer] = []
+        self.program: subprocess.Popen[bytes] | None = None
+        self.log = b""
+
+    @staticmethod
+    def listen() -> socket.socket:
+        door = socket.create_server(("127.0.0.1", 0))
+        door.settimeout(PATIENCE)
+        return door
+
+    def run(self) -> None:
+        try:
+            for number, line in enumerate(self.path.read_text().splitlines(), 1):
+                words = line.split("#")[0].split(maxsplit=2)
+                if words:
+                    try:
+                        self.step(words[0], words[1:])
+                    except (AssertionError, TimeoutError, ConnectionError) as why:
+                        raise AssertionError(f"{self.path.name}:{number}: {line}: {why}") from why
+        finally:
+            if self.program is not None:
+                self.program.kill()
+                self.program.wait()
+                self.program.stdout.close()
+            ends = [*self.doors.values(), self.discovery, *(p.sock for p in self.peers())]
+            for sock in ends:
+                sock.close()
+
+    def peers(self) -> list[Peer]:
+        return [*self.clients.values(), *self.dials.values(), *self.calls]
+
+    def step(self, kind: str, words: list[str]) -> None:
+        getattr(self, f"on_{kind}")(*words)
+
+    def on_known(self, *words: str) -> None:
+        for word in " ".join(words).split():
+            name, _, state = word.rstrip("!").partition(":")
+            self.known.append(self.entry(name, state or "SERVING"))
+            if word.endswith("!"):
+                self.doors.pop(name).close()
+
+    def entry(self, name: str, state: str) -> dict:
+        if name not in self.doors:
+            self.doors[name] = self.listen()
+        port = self.doors[name].getsockname()[1]
+        return {"id": name, "addr": f"127.0.0.1:{port}", "zone": "z", "state": state}
+
+    def on_set(self, *words: str) -> None:
+        parts = [
+            self.settings,
+            *self.settings["listeners"],
+            *(self.settings[k] for k in ("limits", "contract")),
+        ]
+        for word in " ".join(words).split():
+            key, _, text = word.partition("=")
+            next(part for part in parts if key in part)[key] = json.loads(text)
+
+    def on_start(self) -> None:
+        told = {
+            "name": "b", "listen": "127.0.0.1:0", "seed": "a5", "settings": self.settings,
+            "discovery": f"127.0.0.1:{self.discovery.getsockname()[1]}",
+            "known": {"version": 7, "full": True, "servers": self.known},
+        }  # fmt: skip
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            json.dump(told, file)
+            file.flush()
+            command = [sys.executable, "-m", "thymedeck", "serve", "--config", file.name]
+            self.program = subprocess.Popen(command, stdout=subprocess.PIPE)
+            self.address = self.on_log('*"event":"started"*')["listen"].split(":")
+        probe = Peer(self.connect())
+        probe.act("says", "PING")
+        probe.act("gets", "PONG")
+        probe.sock.close()
+
+    def connect(self) -> socket.socket:
+        return socket.create_connection((self.address[0], int(self.address[1])), timeout=PATIENCE)
+
+    def on_log(self, *words: str) -> dict:
+        """Waits for such a line; those before it are passed over."""
+        pattern = " ".join(words)
+        until = time.monotonic() + PATIENCE
+        while True:
+            while b"\n" in self.log:
+                line, _, self.log = self.log.partition(b"\n")
+                if fnmatch(line.decode(), pattern):
+                    return json.loads(line)
+            left = until - time.monotonic()
+            ready = select.select([self.program.stdout], [], [], max(left, 0))[0]
+            got = os.read(self.program.stdout.fileno(), 65536) if ready else b""
+            assert got, f"no log line {pattern}"
+            self.log += got
+
+    def on_client(self, name: str, rest: str) -> None:
+        verb, _, text = rest.partition(" ")
+        if verb in ("opens", "connects"):
+            self.clients[name] = Peer(self.connect())
+            if verb == "opens":
+                self.clients[name].act("says", f"OPEN id{name} key{name} {text}")
+        else:
+            self.clients[name].act(verb, text)
+
+    def on_server(self, name: str, rest: str) -> None:
+        verb, _, text = rest.partition(" ")
+        if verb == "dialled":
+            doors = [door for at, door in self.doors.items() if not text or at == text]
+            ready = select.select(doors, [], [], PATIENCE)[0]
+            assert ready, "no dial"
+            self.dials[name] = Peer(ready[0].accept()[0])
+            line = self.dials[name].line()
+            assert line.startswith(f"OPEN id{name} key{name} "), line
+            self.figures = line.split()[3]
+        elif verb == "fills":
+            data = os.urandom(int(text)).replace(b"\n", b"-")
+            writer = threading.Thread(target=self.dials[name].sock.sendall, args=(data,))
+            writer.start()
+            same = self.clients[name].exactly(len(data)) == data
+            writer.join()
+            assert same, "bytes changed"
+        else:
+            self.dials[name].act(verb, text)
+
+    def on_figures(self, *words: str) -> None:
+        assert fnmatch(self.figures, words[0]), self.figures
+
+    def on_list(self, verb: str, text: str = "") -> None:
+        if verb == "asked":
+            if not self.calls or self.calls[-1].sock.fileno() < 0:
+                self.calls.append(Peer(self.discovery.accept()[0]))
+            call = self.calls[-1].line()
+            if call in ("end", "reset"):
+                self.calls.append(Peer(self.discovery.accept()[0]))
+                call = self.calls[-1].line()
+            while self.calls[-1].line():
+                pass
+            assert fnmatch(call, f"GET {text} HTTP/1.1"), call
+        elif verb == "says":
+            version, full, *rows = text.split()
+            entries = [self.entry(*row.split(":")) for row in rows]
+            body = json.dumps({"version": int(version), "full": full == "whole", "servers": entries})
+            self.reply("200 OK", body)
+        elif verb == "answers":
+            status, _, body = text.partition(" ")
+            self.reply(status, body)
+        else:
+            self.calls[-1].act(verb, text)
+
+    def reply(self, status: str, body: str) -> None:
+        head = f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n\r\n"
+        self.calls[-1].sock.sendall(head.encode() + body.encode())
+
+    def on_stop(self) -> None:
+        self.program.terminate()
+
+    def on_exits(self, code: str) -> None:
+        assert self.program.wait(PATIENCE) == int(code)
--- a/thymedeck/net/clients.py
+++ b/thymedeck/net/clients.py
@@ -186,13 +186,16 @@
             self.close_both()
 
     def server_broke(self, word: Ending) -> None:
-        self.flush()
+        """Guards against clients that wait long after a break: they are asked to move, between two lines."""
         self.service.session_over(self, word)
-        self.done = True
-        self.due.cancel()
-        if self.dial is not None:
-            self.dial.close()
-        self.close(reset=True)
+        self.dial.close()
+        if word is Ending.SERVER_BROKE and self.dial.lines.between and self.outbound.put(b"MOVE\r\n"):
+            self.finish(word, linger=True)
+        else:
+            self.flush()
+            self.done = True
+            self.due.cancel()
+            self.close(reset=True)
 
     def on_end(self) -> None:
         if not self.standing:
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -82,7 +82,7 @@
         self.door = Door(self, self.listen)
         self.is_able = True
         self.loop.after(SECOND, self.each_second)
-        self.log("started", listen="{}:{}".format(*self.listen), servers=len(self.servers))
+        self.log("started", listen="{}:{}".format(*self.door.sock.getsockname()), servers=len(self.servers))
         self.loop.run()
         self.log("stopped")
 
@@ -320,6 +320,7 @@
             self.door.close()
         self.follower.close()
         standing = [client for client in self.clients.values() if client.standing]
+        self.log("leaving", sessions=len(self.clients), standing=len(standing))
         span = max(self.last - self.loop.now() - SECOND, 0) // 2
         for at, client in enumerate(standing):
             self.loop.after(span * at // len(standing), client.move)
