--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -299,14 +299,15 @@
         sess = self.sessions.get(event.sess)
         if sess is None or not self.site.present_load:
             return
-        if sess.load is None:
+        first = sess.load is None
+        if first:
             self.learn_load(event.load)
         server = sess.server
         self.leave(sess)
         sess.load = event.load
         if server is not None:
             self.join(sess, server)
-            if not self.site.tells_delay:
+            if not self.site.tells_delay and not first:  # at the start not all sessions are told of yet
                 self.level(server)
 
     # Sessions
