--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -65,7 +65,7 @@
 RELIEF_PAUSE = 3 * SECOND  # until a report shows what the last moves brought
 LIST_PART = 0.005  # of the time within which the list is to be asked, left to each balancer's call
 SLOW_RUN = 3  # last set-ups at a server that tell of slow messages where nothing else does
-UNEVEN = 2.0  # times the others' mean sum, from which a server is relieved where nobody tells of full ones
+UNEVEN = 1.5  # times the others' mean sum, from which a server is relieved where nobody tells of full ones
 PLANNED_DIALS = 3  # dials for which the time to the dial timeout is divided
 
 
