--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -754,18 +754,15 @@
     def judge_set_up(self, server: Server, took: int) -> None:
         """Guards against full servers that nobody tells of: set-ups wait for the same cores as messages.
 
-        What the last few took beyond the quickest in that zone, parted among the dials out there, and beyond
-        what is usual counts as what a message takes; as they are rare, sessions are moved from a third on.
+        What the last few took beyond the quickest in that zone is their wait; as far as that is longer than
+        set-ups usually wait it counts as what a message takes.
         """
         quickest = self.quickest[server.zone] = min(took, self.quickest.get(server.zone, took))
-        wait = (took - quickest) // (server.dials_out + 1)
-        server.waits.append(wait)
-        self.waits.append(wait)
+        server.waits.append(took - quickest)
+        self.waits.append(took - quickest)
         if len(server.waits) == SLOW_RUN:
-            wait = sum(server.waits) // SLOW_RUN - sorted(self.waits)[len(self.waits) // 2]
-            self.take_delay(
-                server, max(wait, self.shortest_aim + 1) if 3 * wait > self.shortest_aim else wait
-            )
+            usual = sorted(self.waits)[len(self.waits) // 2]
+            self.take_delay(server, sum(server.waits) // SLOW_RUN - usual)
 
     def on_delay(self, event: DelayTold) -> None:
         self.take_delay(self.servers[event.server], event.delay)
