--- a/thymedeck/net/clients.py
+++ b/thymedeck/net/clients.py
@@ -95,21 +95,21 @@
         if self.words or self.done:
             return  # waits in the ring until the session stands
         try:
-            line = self.lines.first(self.inbound)
+            while not self.words and not self.done and (line := self.lines.first(self.inbound)) is not None:
+                self.inbound.skip(self.inbound.copy(0, len(self.inbound)).find(b"\n") + 1)
+                self.first_line(line)
         except Garbled:
             self.answer(b"ERR line too long\r\n", Ending.MALFORMED)
-            return
-        if line is None:
-            return
-        self.inbound.skip(self.inbound.copy(0, len(self.inbound)).find(b"\n") + 1)
-        if line == b"PING":
-            if self.service.is_able:
-                self.say(b"PONG\r\n")
-            else:
-                self.finish(Ending.IDLE)
-            return
+
+    def first_line(self, line: bytes) -> None:
         self.due.cancel()
-        self.service.opened(self, line)
+        if line != b"PING":
+            self.service.opened(self, line)
+        elif self.service.is_able:
+            self.say(b"PONG\r\n")
+            self.due = self.loop.after(FIRST_LINE_WITHIN, self.no_line)
+        else:
+            self.finish(Ending.IDLE)
 
     def dial_line(self, limit: int) -> bytes:
         """The client's line with the limit of this dial, in whole milliseconds, as its `d`."""
@@ -172,12 +172,12 @@
         """The server has ended its sending, so do we once all is passed on."""
         self.service.session_over(self, word)
         self.end_sending()
-        self.half_open(HALF_OPEN)
+        self.half_open()
 
-    def half_open(self, wait: int) -> None:
+    def half_open(self) -> None:
         """One side has ended: the other may go on for a while."""
         self.due.cancel()
-        self.due = self.loop.after(wait, self.close_both)
+        self.due = self.loop.after(HALF_OPEN, self.close_both)
         self.settle()
 
     def settle(self) -> None:
@@ -205,7 +205,7 @@
         else:
             self.service.session_over(self, Ending.CLIENT_LEFT)
             self.dial.end_sending()
-            self.half_open(LINGER)
+            self.half_open()
 
     def on_broken(self) -> None:
         if self.standing and self.dial is not None:
--- a/thymedeck/net/servers.py
+++ b/thymedeck/net/servers.py
@@ -8,7 +8,7 @@
 
 from .connection import Connection
 from .endings import Ending
-from .lines import Lines
+from .lines import Garbled, Lines
 
 if TYPE_CHECKING:
     from .clients import Client
@@ -77,11 +77,14 @@
             self.learn(count)
             self.client.flush()
             return
-        line = self.lines.first(self.inbound)
+        try:
+            line = self.lines.first(self.inbound)
+        except Garbled:
+            line = b""
         if line is None:
             return
         word = line.split(b" ", 1)[0]
-        if word == b"UP":
+        if word == b"UP" and self.sent:
             self.stand()
         elif word == b"BUSY":
             self.finish(Ending.TURNED_AWAY)
@@ -98,6 +101,8 @@
         if self.open:
             self.learn(len(self.inbound))
             self.client.flush()
+            if self.service.stopping:
+                self.client.move()
 
     def learn(self, count: int) -> None:
         """Reads along for loads, answers and last words; the bytes go on unchanged."""
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -22,6 +22,7 @@
 STATES = {"SERVING": own.State.READY, "DRAINING": own.State.DRAINING, "DELETED": own.State.GONE}
 FIXED_WITHIN = 35 * SECOND  # for a session that stood before to be up again
 FIXED_PAUSE = 2_000
+DRAIN_WITHIN = SECOND  # within which the sessions of a server that drains are moved
 SILENT = 5 * SECOND  # a line that nothing has come back for so long tells of a connection that is dead
 STILL_ACCEPTING = 5_000  # after the signal to stop, as the front notices late
 LONGEST_STOP = 3 * SECOND
@@ -193,8 +194,6 @@
         if client.fixed < 0:
             self.log("up", sess=client.sess, server=dial.server, took=took)
             self.tell(own.Established(client.sess, dial.server, took))
-        if self.stopping:
-            client.move()
 
     def dial_over(self, dial: Dialled, ending: Ending) -> None:
         client = dial.client
@@ -292,10 +291,20 @@
             state = STATES.get(row.state, own.State.DRAINING)
             started = max(int(row.started_ms * 10) + self.since_unix, 1) if row.started_ms > 0 else 0
             weight = max(row.weight, LEAST_WEIGHT)
+            if state is not own.State.READY and kind is not own.ListKind.SAVED:
+                self.drains(index)
             entries.append(own.Entry(index, self.zones.get(row.zone, -1), row.cell, state, started, weight))
             self.log("listed", kind=kind.name, server=index, id=row.id, state=row.state, started=started)
         self.tell(own.ServerList(kind, entries))
 
+    def drains(self, index: int) -> None:
+        """Guards against sessions cut off when their server goes: what still stands there is moved before."""
+        standing = list(self.servers[index].standing)
+        if standing:
+            self.log("drains", server=index, sessions=len(standing))
+        for at, client in enumerate(standing):
+            self.loop.after(DRAIN_WITHIN * at // len(standing), client.move)
+
     def list_failed(self, why: str) -> None:
         self.log("list_failed", why=why)
         self.tell(own.ServerList(own.ListKind.FAILED, []))
@@ -317,6 +326,7 @@
 
     def leave(self) -> None:
         if self.door is not None:
+            self.door.ready(READ)  # what has come but was not taken in yet
             self.door.close()
         self.follower.close()
         standing = [client for client in self.clients.values() if client.standing]
