--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -65,7 +65,8 @@
 RELIEF_PAUSE = 3 * SECOND  # until a report shows what the last moves brought
 LIST_PART = 0.005  # of the time within which the list is to be asked, left to each balancer's call
 SLOW_RUN = 3  # last set-ups at a server that tell of slow messages where nothing else does
-UNEVEN = 1.5  # times the others' mean sum, from which a server is relieved where nobody tells of full ones
+UNEVEN = 1.5  # times the others' mean sum, above which a server is relieved where nobody tells of full ones
+CORE = 1_000_000  # load that no server is too small for
 PLANNED_DIALS = 3  # dials for which the time to the dial timeout is divided
 
 
@@ -74,7 +75,7 @@
 
     __slots__ = (
         "asked_at", "asking", "cell", "crowded", "delay", "dials_out", "full_until", "handicap",
-        "handicap_at", "index", "lacking", "most", "over", "pressure", "recent", "relieved_at", "sent",
+        "handicap_at", "index", "lacking", "lag", "most", "over", "pressure", "recent", "relieved_at", "sent",
         "sick", "silent_until", "slow_until", "standing", "started", "state", "told", "told_at_report",
         "told_until", "trial_at", "trials", "waits", "weight", "zone",
     )  # fmt: skip
@@ -113,6 +114,7 @@
         self.delay = 0
         self.slow_until = -1
         self.waits: deque[int] = deque(maxlen=SLOW_RUN)  # of its last set-ups
+        self.lag = 0  # their mean over the usual wait
         self.pressure = 0.0
         self.told_at_report = 0.0
         self.told_until = -1  # how long its last report tells on which side of the cap it is
@@ -754,15 +756,14 @@
     def judge_set_up(self, server: Server, took: int) -> None:
         """Guards against full servers that nobody tells of: set-ups wait for the same cores as messages.
 
-        What the last few took beyond the quickest in that zone is their wait; as far as that is longer than
-        set-ups usually wait it counts as what a message takes.
+        What the last few took beyond the quickest in that zone, less the usual, counts as a message's delay.
         """
         quickest = self.quickest[server.zone] = min(took, self.quickest.get(server.zone, took))
         server.waits.append(took - quickest)
         self.waits.append(took - quickest)
         if len(server.waits) == SLOW_RUN:
-            usual = sorted(self.waits)[len(self.waits) // 2]
-            self.take_delay(server, sum(server.waits) // SLOW_RUN - usual)
+            server.lag = sum(server.waits) // SLOW_RUN - sorted(self.waits)[len(self.waits) // 2]
+            self.take_delay(server, server.lag)
 
     def on_delay(self, event: DelayTold) -> None:
         self.take_delay(self.servers[event.server], event.delay)
@@ -828,20 +829,18 @@
     def level(self, server: Server) -> None:
         """Guards against loads that have grown on a slow server which nobody tells of: it gets no set-up.
 
-        A session that is most of the surplus stays, as it would only take the surplus along; others go.
+        A session that is most of the surplus would only take it along; a server quicker than most has room.
         """
         others = [s for s in self.ready if s is not server and not s.sick]
-        if not others or self.storm or self.now - server.relieved_at < RELIEF_PAUSE:
+        if not others or self.storm or server.lag < 0 or self.now - server.relieved_at < RELIEF_PAUSE:
             return
         own, fair = self.own_sum(server), self.mean_sum(others)
-        surplus = own - fair if own > UNEVEN * fair else 0.0
-        moved = 0
+        surplus = own - fair if own > max(UNEVEN * fair, CORE / self.site.replicas) else 0.0
         for index, sess in sorted(server.standing.items(), key=lambda item: -self.load_of(item[1])):
             if self.mean / 2 <= self.load_of(sess) <= surplus / 2:
                 surplus -= self.load_of(sess)
-                moved += 1
                 self.out.append(Move(index))
-        if moved:
+        if moved := len(self.out):
             if self.now - server.relieved_at > LOG_PAUSE:
                 self.log(f"server {server.index} carries {own:.0f}, others {fair:.0f}; moving, {moved} first")
             server.relieved_at = self.now
