Broken ends are closed at once, calls survive a connection that ends, no client is left without an answer

Found on reading: a client that broke after its last line kept the loop turning for up to a second; an answer that ended its connection was taken for a failure; no socket for a call stopped the actions behind it.

--- a/thymedeck/net/clients.py
+++ b/thymedeck/net/clients.py
@@ -118,6 +118,15 @@
 
     # Answers
 
+    def await_answer(self, wait: int) -> None:
+        """Guards against a fault that would leave a client with no answer at all."""
+        self.due = self.loop.after(wait, self.unanswered)
+
+    def unanswered(self) -> None:
+        if not self.standing:
+            self.service.log("unanswered", sess=self.sess)
+            self.answer(b"ERR no answer in time\r\n", Ending.ANSWERED)
+
     def answer(self, line: bytes, ending: Ending) -> None:
         """A final answer other than a server's; then the connection ends."""
         if self.done:
@@ -130,6 +139,7 @@
     def stand(self, dial: Dialled) -> None:
         """From here on the rings are shared: what the one reads the other writes."""
         self.standing = True
+        self.due.cancel()
         self.outbound = dial.inbound
         dial.outbound = self.inbound
         self.partner, dial.partner = dial, self
@@ -198,16 +208,19 @@
             self.close(reset=True)
 
     def on_end(self) -> None:
-        if not self.standing:
-            self.finish(Ending.CLIENT_LEFT)
-        elif self.dial is None or self.done:
+        if self.done:
             self.close_both()
+        elif not self.standing or self.dial is None:
+            self.finish(Ending.CLIENT_LEFT)
         else:
             self.service.session_over(self, Ending.CLIENT_LEFT)
             self.dial.end_sending()
             self.half_open()
 
     def on_broken(self) -> None:
+        if self.done:
+            self.close_both()  # else the loop would be told of it over and over
+            return
         if self.standing and self.dial is not None:
             self.service.session_over(self, Ending.CLIENT_BROKE)
             self.dial.close(reset=True)
--- a/thymedeck/net/serverlist.py
+++ b/thymedeck/net/serverlist.py
@@ -18,6 +18,7 @@
 CONNECT_WITHIN = 10_000
 ANSWER_WITHIN = 20_000  # beyond the wait that was asked for
 LONGEST_WAIT = 600_000
+STALE_WITHIN = 500  # a kept connection that ends this soon after a call had been ended before it
 LARGEST_ANSWER = 8 << 20
 
 decode = msgspec.json.Decoder(Listing).decode
@@ -39,8 +40,11 @@
     def renew(self) -> None:
         self.parser: Any = httptools.HttpResponseParser(self)
         self.body = bytearray()
+        self.heard = False  # something of the answer has come
+        self.complete = False  # the answer is whole; the connection is no longer needed for it
 
     def ask(self, target: str, host: str, wait: int) -> None:
+        self.stale_until = 0 if self.connecting else self.loop.now() + STALE_WITHIN
         self.renew()
         self.due.cancel()
         self.due = self.loop.after(
@@ -60,6 +64,7 @@
         self.due = self.loop.after(self.wait + ANSWER_WITHIN, self.overdue)
 
     def on_bytes(self, count: int) -> None:
+        self.heard = True
         data = self.inbound.copy(0, len(self.inbound))
         self.inbound.skip(len(data))
         try:
@@ -74,6 +79,7 @@
 
     def on_message_complete(self) -> None:
         self.due.cancel()
+        self.complete = True
         # The parser is left before the next call begins.
         status, body, again = self.parser.get_status_code(), bytes(self.body), self.parser.should_keep_alive()
         self.loop.after(0, lambda: self.follower.answered(self, status, body, again))
@@ -90,7 +96,13 @@
     def lost(self, why: str) -> None:
         self.due.cancel()
         self.close()
-        self.follower.call_lost(self, why)
+        if self.complete:
+            return
+        if not self.heard and self.loop.now() < self.stale_until:
+            # Guards against a watch lost to a connection that was ended as the next call went out on it.
+            self.follower.call_again(self)
+        else:
+            self.follower.call_lost(self, why)
 
 
 class Follower:
@@ -115,8 +127,11 @@
         if self.version >= 0:
             target += f"?index={self.version}&wait={wait // 10}"
         host = f"{self.address[0]}:{self.address[1]}"
-        if self.call is None:
-            self.call = Call(self.service.loop, self, self.address)
+        try:
+            self.call = self.call or Call(self.service.loop, self, self.address)
+        except OSError as why:
+            self.failed(str(why))  # no socket is left
+            return
         self.call.ask(target, host, wait)
 
     def answered(self, call: Call, status: int, body: bytes, again: bool) -> None:
@@ -132,7 +147,7 @@
             self.version = -1
             self.failed(f"bad answer: {why}")
             return
-        if not again:
+        if not again or not call.open:
             call.close()
             self.call = None
         self.version = listing.version
@@ -140,6 +155,11 @@
         self.ask(self.wait)
         self.service.listed(listing)
 
+    def call_again(self, call: Call) -> None:
+        if call is self.call:
+            self.call = None
+            self.ask(call.wait)
+
     def call_lost(self, call: Call, why: str) -> None:
         if call is self.call:
             self.failed(why)
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -22,6 +22,7 @@
 STATES = {"SERVING": own.State.READY, "DRAINING": own.State.DRAINING, "DELETED": own.State.GONE}
 FIXED_WITHIN = 35 * SECOND  # for a session that stood before to be up again
 FIXED_PAUSE = 2_000
+MOST_LOAD = 1e12  # a figure beyond this, or none at all, is no load
 DRAIN_WITHIN = SECOND  # within which the sessions of a server that drains are moved
 SILENT = 5 * SECOND  # a line that nothing has come back for so long tells of a connection that is dead
 STILL_ACCEPTING = 5_000  # after the signal to stop, as the front notices late
@@ -140,7 +141,7 @@
             wait = int(figures[b"d"])
             listener = self.listeners[figures[b"c"]]
             hint = float(figures[b"h"]) if b"h" in figures else None
-            if verb != b"OPEN" or wait < 0 or b"\0" in line:
+            if verb != b"OPEN" or wait < 0 or b"\0" in line or not 0 <= (hint or 0) < MOST_LOAD:
                 raise ValueError
         except (ValueError, KeyError):
             # Guards against a peer that speaks something else: it is told so, and the loop goes on.
@@ -165,6 +166,7 @@
             self.dial_fixed(client)
             return
         self.clients[sess] = client
+        client.await_answer(wait * 10)
         self.tell(own.SessionCame(sess, listener, wait * 10, hint, subject, figures.get(b"mid_flow") == b"1"))
 
     def dial(self, client: Client, server: int, limit: int) -> None:
@@ -241,7 +243,7 @@
             load = float(line[5:])
         except ValueError:
             return
-        if 0 <= load < 1e12 and client.sess in self.clients:
+        if 0 <= load < MOST_LOAD and client.sess in self.clients:
             self.tell(own.LoadTold(client.sess, load))
 
     def message_took(self, server: int, took: int) -> None:
