--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -832,17 +832,18 @@
         A session that is most of the surplus would only take it along; a server quicker than most has room.
         """
         others = [s for s in self.ready if s is not server and not s.sick]
-        if not others or self.storm or server.lag < 0 or self.now - server.relieved_at < RELIEF_PAUSE:
+        if not others or self.storm or server.lag < 0 or self.now - server.relieved_at < SECOND:
             return
         own, fair = self.own_sum(server), self.mean_sum(others)
         surplus = own - fair if own > max(UNEVEN * fair, CORE / self.site.replicas) else 0.0
-        for index, sess in sorted(server.standing.items(), key=lambda item: -self.load_of(item[1])):
-            if self.mean / 2 <= self.load_of(sess) <= surplus / 2:
-                surplus -= self.load_of(sess)
-                self.out.append(Move(index))
-        if moved := len(self.out):
+        loads = ((self.load_of(sess), index) for index, sess in server.standing.items())
+        load, index = max((one for one in loads if one[0] <= surplus / 2), default=(0.0, -1))
+        if load >= self.mean / 2:
+            self.out.append(Move(index))
             if self.now - server.relieved_at > LOG_PAUSE:
-                self.log(f"server {server.index} carries {own:.0f}, others {fair:.0f}; moving, {moved} first")
+                self.log(
+                    f"server {server.index} carries {own:.0f}, others {fair:.0f}; moving, {load:.0f} first"
+                )
             server.relieved_at = self.now
 
     def move_order(self, sess: Session, room_elsewhere: bool) -> tuple[float, float]:
