Read-through: one way to connect, to put MOVE, to spread moves and to note them; dead code gone

Done once: a first line is searched for its end once, a call's parser is made once a call, the shortest aim is the module's. Dead: checks for a standing session without its dial, limits that nobody read, the client's deadline and line reader, a lambda for each socket event. Log: a stood-before session that finds no socket now logs no_sockets too.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -194,10 +194,9 @@
         return taken
 
     def act(self, verb: str, text: str) -> None:
-        if verb == "says":
-            self.sock.sendall(text.encode().decode("unicode_escape").encode() + b"\r\n")
-        elif verb == "sends":
-            self.sock.sendall(text.encode().decode("unicode_escape").encode())
+        if verb in ("says", "sends"):
+            end = b"\r\n" if verb == "says" else b""
+            self.sock.sendall(text.encode().decode("unicode_escape").encode() + end)
         elif verb == "gets":
             got = self.line()
             assert fnmatch(got, text), f"expected {text!r}, got {got!r}"
--- a/thymedeck/net/clients.py
+++ b/thymedeck/net/clients.py
@@ -6,7 +6,7 @@
 
 from .connection import Connection
 from .endings import Ending
-from .lines import Garbled, Lines
+from .lines import Garbled, first_line
 from .loop import READ
 from .servers import Dialled
 
@@ -27,7 +27,7 @@
 
     def __init__(self, service: "Service", address: tuple[str, int]) -> None:
         self.service = service
-        self.sock = socket.create_server(address, backlog=BACKLOG, reuse_port=False)
+        self.sock = socket.create_server(address, backlog=BACKLOG)
         self.sock.setblocking(False)
         self.mask = 0
         self.is_open = True
@@ -64,12 +64,9 @@
 class Client(Connection):
     def __init__(self, service: "Service", sock: socket.socket) -> None:
         super().__init__(service.loop, sock)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.service = service
-        self.lines = Lines()
         self.words: list[bytes] = []  # of its first line, without `d`
         self.sess = -1
-        self.deadline = 0
         self.fixed = -1  # the server at which it stood before, if any
         self.fixed_until = 0
         self.dial: Dialled | None = None
@@ -89,19 +86,18 @@
         if self.standing:
             if self.asked_at < 0:
                 self.asked_at = self.loop.now()
-            if self.dial is not None:
-                self.dial.flush()
+            self.dial.flush()
             return
         if self.words or self.done:
             return  # waits in the ring until the session stands
         try:
-            while not self.words and not self.done and (line := self.lines.first(self.inbound)) is not None:
-                self.inbound.skip(self.inbound.copy(0, len(self.inbound)).find(b"\n") + 1)
-                self.first_line(line)
+            while not self.words and not self.done and (line := first_line(self.inbound)) is not None:
+                self.inbound.skip(len(line))
+                self.take_line(line.rstrip(b"\r\n"))
         except Garbled:
             self.answer(b"ERR line too long\r\n", Ending.MALFORMED)
 
-    def first_line(self, line: bytes) -> None:
+    def take_line(self, line: bytes) -> None:
         self.due.cancel()
         if line != b"PING":
             self.service.opened(self, line)
@@ -148,7 +144,7 @@
             dial.flush()
 
     def answered(self) -> None:
-        if self.asked_at >= 0 and self.dial is not None:
+        if self.asked_at >= 0:
             self.service.message_took(self.dial.server, self.loop.now() - self.asked_at)
         self.asked_at = -1
 
@@ -160,20 +156,19 @@
 
     def move(self) -> None:
         """Sends MOVE between two lines and ends both sides."""
-        if self.done or not self.standing or self.dial is None:
+        if self.done or not self.standing:
             return
         if not self.moving:
             self.moving = True
             self.due.cancel()
             self.due = self.loop.after(MOVE_WITHIN, self.move_overdue)
-        if self.dial.lines.between and self.outbound.put(b"MOVE\r\n"):
-            self.move_done()
-
-    def move_done(self) -> None:
-        self.moving = False
-        if self.dial is not None:
+        if self.put_move():
+            self.moving = False
             self.dial.deaf = True  # the shared ring takes nothing more from the server
-        self.finish(Ending.MOVED, linger=True)
+            self.finish(Ending.MOVED, linger=True)
+
+    def put_move(self) -> bool:
+        return self.dial.lines.between and self.outbound.put(b"MOVE\r\n")
 
     def move_overdue(self) -> None:
         self.finish(Ending.MOVED)
@@ -191,26 +186,23 @@
         self.settle()
 
     def settle(self) -> None:
-        dial = self.dial
-        if self.heard_end and (dial is None or (dial.heard_end and not self.outbound.held)):
+        if self.heard_end and self.dial.heard_end and not self.outbound.held:
             self.close_both()
 
     def server_broke(self, word: Ending) -> None:
         """Guards against clients that wait long after a break: they are asked to move, between two lines."""
         self.service.session_over(self, word)
         self.dial.close()
-        if word is Ending.SERVER_BROKE and self.dial.lines.between and self.outbound.put(b"MOVE\r\n"):
+        if word is Ending.SERVER_BROKE and self.put_move():
             self.finish(word, linger=True)
         else:
             self.flush()
-            self.done = True
-            self.due.cancel()
-            self.close(reset=True)
+            self.close_both(reset=True)
 
     def on_end(self) -> None:
         if self.done:
             self.close_both()
-        elif not self.standing or self.dial is None:
+        elif not self.standing:
             self.finish(Ending.CLIENT_LEFT)
         else:
             self.service.session_over(self, Ending.CLIENT_LEFT)
@@ -221,17 +213,17 @@
         if self.done:
             self.close_both()  # else the loop would be told of it over and over
             return
-        if self.standing and self.dial is not None:
+        if self.standing:
             self.service.session_over(self, Ending.CLIENT_BROKE)
             self.dial.close(reset=True)
         self.finish(Ending.CLIENT_BROKE)
 
-    def close_both(self) -> None:
+    def close_both(self, reset: bool = False) -> None:
         self.done = True
         self.due.cancel()
         if self.dial is not None:
             self.dial.close()
-        self.close()
+        self.close(reset)
 
     def finish(self, ending: Ending, linger: bool = False) -> None:
         """Ends the session's client side; told to the decisions if they still hold it."""
--- a/thymedeck/net/connection.py
+++ b/thymedeck/net/connection.py
@@ -1,5 +1,7 @@
 """A connection: a socket with a ring buffer a direction, and callbacks for what happens to it."""
 
+import errno
+import os
 import socket
 import struct
 
@@ -29,6 +31,13 @@
         self.deaf = False  # what comes is no longer wanted
         self.partner: Connection | None = None  # reads into our `outbound`
         sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def connect(self, address: tuple[str, int]) -> str:
+        """Begins to connect; returns why that failed at once, if it did."""
+        self.connecting = True
+        failed = self.sock.connect_ex(address)
+        return "" if failed in (0, errno.EINPROGRESS) else os.strerror(failed)
 
     # Callbacks, for the kinds of connection to fill in
 
@@ -121,10 +130,9 @@
         self.loop.watch(self.sock, self.mask, mask, self)
         self.mask = mask
 
-    def say(self, data: bytes) -> bool:
-        done = self.outbound.put(data)
+    def say(self, data: bytes) -> None:
+        self.outbound.put(data)
         self.flush()
-        return done
 
     def end_sending(self) -> None:
         self.end_wanted = True
--- a/thymedeck/net/lines.py
+++ b/thymedeck/net/lines.py
@@ -11,22 +11,25 @@
     """What came is no line: too long."""
 
 
+def first_line(ring: Ring) -> bytes | None:
+    """The ring's first line with its end, left in the ring; None while it is not whole."""
+    held = ring.copy(0, min(ring.held, LONGEST + 2))
+    end = held.find(b"\n")
+    if end < 0:
+        if len(held) >= LONGEST:
+            raise Garbled
+        return None
+    return held[: end + 1]
+
+
 class Lines:
+    """Reads along as bytes pass."""
+
     __slots__ = ("part",)
 
     def __init__(self) -> None:
         self.part = b""  # what has come of the present line
 
-    def first(self, ring: Ring) -> bytes | None:
-        """The ring's first line without its end, left in the ring; None while it is not whole."""
-        held = ring.copy(0, min(len(ring), LONGEST + 2))
-        end = held.find(b"\n")
-        if end < 0:
-            if len(held) >= LONGEST:
-                raise Garbled
-            return None
-        return held[:end].rstrip(b"\r")
-
     def take(self, data: bytes) -> Iterator[bytes]:
         """The lines that end within these bytes; what is too long to be one is passed over."""
         if b"\n" not in data:
--- a/thymedeck/net/loop.py
+++ b/thymedeck/net/loop.py
@@ -68,18 +68,17 @@
         # A timer is never early: what is left of its tenth is waited for too.
         wait = max(timers[0][0] + 1 - self.now(), 0) / 10_000 if timers else None
         for key, mask in self.selector.select(wait):
-            if mask & key.events:
-                self.guard(lambda ready=key.data, mask=mask: ready.ready(mask))
+            self.guard(key.data.ready, mask)
         now = self.now()
         while timers and timers[0][0] <= now:
             call = heapq.heappop(timers)[2].call
             if call is not None:
                 self.guard(call)
 
-    def guard(self, call: Callable[[], None]) -> None:
+    def guard(self, call: Callable[..., None], *given: int) -> None:
         """Guards against one connection whose handling fails and stops all others."""
         try:
-            call()
+            call(*given)
         except Exception as fault:
             self.on_fault(fault)
 
--- a/thymedeck/net/ring.py
+++ b/thymedeck/net/ring.py
@@ -15,9 +15,6 @@
         self.at = 0
         self.held = 0
 
-    def __len__(self) -> int:
-        return self.held
-
     @property
     def room(self) -> int:
         return self.size - self.held
--- a/thymedeck/net/serverlist.py
+++ b/thymedeck/net/serverlist.py
@@ -1,6 +1,5 @@
 """The list of servers: calls over HTTP, and a watch that is kept alive by the next call in time."""
 
-import errno
 import socket
 from typing import TYPE_CHECKING, Any
 
@@ -30,22 +29,15 @@
     def __init__(self, loop: Loop, follower: "Follower", address: tuple[str, int]) -> None:
         super().__init__(loop, socket.socket(socket.AF_INET, socket.SOCK_STREAM))
         self.follower = follower
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.due = self.loop.after(CONNECT_WITHIN, self.overdue)
-        self.renew()
-        self.connecting = True
-        failed = self.sock.connect_ex(address)
-        self.refused = failed not in (0, errno.EINPROGRESS)
+        self.refused = bool(self.connect(address))
 
-    def renew(self) -> None:
+    def ask(self, target: str, host: str, wait: int) -> None:
+        self.stale_until = 0 if self.connecting else self.loop.now() + STALE_WITHIN
         self.parser: Any = httptools.HttpResponseParser(self)
         self.body = bytearray()
         self.heard = False  # something of the answer has come
         self.complete = False  # the answer is whole; the connection is no longer needed for it
-
-    def ask(self, target: str, host: str, wait: int) -> None:
-        self.stale_until = 0 if self.connecting else self.loop.now() + STALE_WITHIN
-        self.renew()
         self.due.cancel()
         self.due = self.loop.after(
             wait + (CONNECT_WITHIN if self.connecting else ANSWER_WITHIN), self.overdue
@@ -65,7 +57,7 @@
 
     def on_bytes(self, count: int) -> None:
         self.heard = True
-        data = self.inbound.copy(0, len(self.inbound))
+        data = self.inbound.copy(0, self.inbound.held)
         self.inbound.skip(len(data))
         try:
             self.parser.feed_data(data)
@@ -165,10 +157,7 @@
             self.failed(why)
 
     def failed(self, why: str) -> None:
-        if self.call is not None:
-            self.call.due.cancel()
-            self.call.close()
-        self.call = None
+        self.close()
         self.following = False
         self.service.list_failed(why)
 
--- a/thymedeck/net/servers.py
+++ b/thymedeck/net/servers.py
@@ -1,14 +1,12 @@
 """The servers' side: a connection for each dial, and what is learnt of each server from its lines."""
 
-import errno
-import os
 import socket
 from collections import deque
 from typing import TYPE_CHECKING
 
 from .connection import Connection
 from .endings import Ending
-from .lines import Garbled, Lines
+from .lines import Garbled, Lines, first_line
 
 if TYPE_CHECKING:
     from .clients import Client
@@ -45,16 +43,13 @@
         self.over = False  # its ending has been told
         self.lines = Lines()
         self.last_word = Ending.SERVER_ENDED  # what its end would mean now
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.connect_due = self.loop.after(connect_within, self.not_up_in_time)
         self.limit_due = self.loop.after(limit, self.limit_passed)
 
     def start(self, line: bytes) -> None:
-        self.connecting = True
         self.outbound.put(line)
-        failed = self.sock.connect_ex(self.service.servers[self.server].address)
-        if failed not in (0, errno.EINPROGRESS):
-            self.service.log("no_connect", server=self.server, why=os.strerror(failed))
+        if failed := self.connect(self.service.servers[self.server].address):
+            self.service.log("no_connect", server=self.server, why=failed)
             self.finish(Ending.NOT_UP)
             return
         self.await_more()
@@ -78,12 +73,12 @@
             self.client.flush()
             return
         try:
-            line = self.lines.first(self.inbound)
+            line = first_line(self.inbound)
         except Garbled:
             line = b""
         if line is None:
             return
-        word = line.split(b" ", 1)[0]
+        word = line.rstrip(b"\r\n").split(b" ", 1)[0]
         if word == b"UP" and self.sent:
             self.stand()
         elif word == b"BUSY":
@@ -99,7 +94,7 @@
         self.standing = True
         self.service.stands(self, self.loop.now() - self.began)
         if self.open:
-            self.learn(len(self.inbound))
+            self.learn(self.inbound.held)
             self.client.flush()
             if self.service.stopping:
                 self.client.move()
@@ -120,7 +115,10 @@
         if self.standing:
             self.client.server_ended(self.last_word)
         else:
-            self.finish(Ending.CUT_SENT if self.sent else Ending.CUT_UNSENT)
+            self.cut()
+
+    def cut(self) -> None:
+        self.finish(Ending.CUT_SENT if self.sent else Ending.CUT_UNSENT)
 
     def on_broken(self) -> None:
         if self.standing:
@@ -130,7 +128,7 @@
         elif self.connecting:
             self.finish(Ending.NOT_UP)
         else:
-            self.finish(Ending.CUT_SENT if self.sent else Ending.CUT_UNSENT)
+            self.cut()
 
     def finish(self, ending: Ending) -> None:
         """Closes the dial before anything else comes of it: never two are out at once."""
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -57,7 +57,6 @@
         self.loop = Loop(self.log.fault)
         # The protocol has no probes and does not tell what messages take; connections end here.
         self.site = replace(deployment(env), may_probe=False, tells_delay=False, passes_through=False)
-        self.shortest_aim = min(listener.message_aim for listener in self.site.listeners)
         self.balancer = Balancer(start.seed, self.site)
         self.listeners = {one.name.encode(): at for at, one in enumerate(env.listeners)}
         self.zones = {name: at for at, name in enumerate(env.zones)}
@@ -170,24 +169,25 @@
         self.tell(own.SessionCame(sess, listener, wait * 10, hint, subject, figures.get(b"mid_flow") == b"1"))
 
     def dial(self, client: Client, server: int, limit: int) -> None:
+        if not self.begin_dial(client, server, self.site.connect_timeout, limit):
+            self.tell(own.DialEnded(client.sess, server, OUTCOMES[Ending.NO_SOCKET], False, None))
+
+    def begin_dial(self, client: Client, server: int, connect_within: int, limit: int) -> bool:
+        """Whether there was a socket for it."""
         try:
-            client.dial = Dialled(self, client, server, self.site.connect_timeout, limit)
+            client.dial = Dialled(self, client, server, connect_within, limit)
         except OSError as why:
             self.log("no_sockets", why=str(why))
-            self.tell(own.DialEnded(client.sess, server, OUTCOMES[Ending.NO_SOCKET], False, None))
-            return
+            return False
         client.dial.start(client.dial_line(limit))
+        return True
 
     def dial_fixed(self, client: Client) -> None:
         if client.done:
             return
         left = client.fixed_until - self.loop.now()
-        try:
-            client.dial = Dialled(self, client, client.fixed, left, left)
-        except OSError:
+        if not self.begin_dial(client, client.fixed, left, left):
             self.loop.after(FIXED_PAUSE, lambda: self.dial_fixed(client))
-            return
-        client.dial.start(client.dial_line(left))
 
     def stands(self, dial: Dialled, took: int) -> None:
         client = dial.client
@@ -212,15 +212,14 @@
             self.tell(own.DialEnded(client.sess, dial.server, outcome, True, None))
             client.answer(b"ERR not up\r\n", Ending.ANSWERED)
             return
-        self.tell(own.DialEnded(client.sess, dial.server, outcome, client.done, None))
+        self.tell(own.DialEnded(client.sess, dial.server, outcome, False, None))
 
     def client_over(self, client: Client, ending: Ending) -> None:
         """The client's side has ended; what is left of the session ends with it."""
         dial = client.dial
         if client.standing:
             self.session_over(client, ending)
-            if dial is not None:
-                dial.close()
+            dial.close()
         elif self.clients.pop(client.sess, None) is not None:
             self.tell(own.SessionLeft(client.sess))
             if dial is not None:
@@ -229,7 +228,7 @@
 
     def session_over(self, client: Client, ending: Ending) -> None:
         """A standing session has ended, told once."""
-        if self.clients.pop(client.sess, None) is None or client.dial is None:
+        if self.clients.pop(client.sess, None) is None:
             return
         server = client.dial.server
         self.servers[server].standing.discard(client)
@@ -259,7 +258,7 @@
             server.delays.clear()
             if delays:
                 delay = delays[len(delays) // 2]
-                slow = 3 * delay > self.shortest_aim
+                slow = 3 * delay > self.balancer.shortest_aim
                 if slow or server.slow:
                     client = next(iter(late or server.standing), None)
                     self.tell(own.DelayTold(-1 if client is None else client.sess, index, delay))
@@ -304,8 +303,12 @@
         standing = list(self.servers[index].standing)
         if standing:
             self.log("drains", server=index, sessions=len(standing))
+        self.move_within(DRAIN_WITHIN, standing)
+
+    def move_within(self, span: int, standing: list[Client]) -> None:
+        """Spread evenly, so that they do not all come again at once."""
         for at, client in enumerate(standing):
-            self.loop.after(DRAIN_WITHIN * at // len(standing), client.move)
+            self.loop.after(span * at // len(standing), client.move)
 
     def list_failed(self, why: str) -> None:
         self.log("list_failed", why=why)
@@ -333,9 +336,7 @@
         self.follower.close()
         standing = [client for client in self.clients.values() if client.standing]
         self.log("leaving", sessions=len(self.clients), standing=len(standing))
-        span = max(self.last - self.loop.now() - SECOND, 0) // 2
-        for at, client in enumerate(standing):
-            self.loop.after(span * at // len(standing), client.move)
+        self.move_within(max(self.last - self.loop.now() - SECOND, 0) // 2, standing)
         self.loop.after(max(self.last - self.loop.now() - SECOND // 2, 0), self.answer_rest)
         self.end_when_empty()
 
--- a/thymedeck/net/told.py
+++ b/thymedeck/net/told.py
@@ -31,10 +31,6 @@
     servers: list[Row] = []
 
 
-class Allowed(msgspec.Struct):
-    sockets: int = 0
-
-
 class Told(msgspec.Struct):
     name: str
     listen: str
@@ -42,7 +38,6 @@
     settings: Env
     seed: str = "0"
     known: Listing | None = None
-    limits: Allowed = msgspec.field(default_factory=Allowed)
 
 
 @dataclass(frozen=True)
--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -819,12 +819,16 @@
             moved = 1
             self.out.append(Move(order[0][0]))
         if moved:
-            if self.now - server.relieved_at > LOG_PAUSE:
-                self.log(
-                    f"server {server.index} past its cap: load {self.load_now(server):.2f}, message "
-                    f"{server.delay / 10:.0f} ms; moving, {moved} of {len(server.standing)} first"
-                )
-            server.relieved_at = self.now
+            self.note_moves(
+                server,
+                f"past its cap: load {self.load_now(server):.2f}, message {server.delay / 10:.0f} ms; "
+                f"moving, {moved} of {len(server.standing)} first",
+            )
+
+    def note_moves(self, server: Server, text: str) -> None:
+        if self.now - server.relieved_at > LOG_PAUSE:
+            self.log(f"server {server.index} {text}")
+        server.relieved_at = self.now
 
     def level(self, server: Server) -> None:
         """Guards against loads that have grown on a slow server which nobody tells of: it gets no set-up.
@@ -840,11 +844,7 @@
         load, index = max((one for one in loads if one[0] <= surplus / 2), default=(0.0, -1))
         if load >= self.mean / 2:
             self.out.append(Move(index))
-            if self.now - server.relieved_at > LOG_PAUSE:
-                self.log(
-                    f"server {server.index} carries {own:.0f}, others {fair:.0f}; moving, {load:.0f} first"
-                )
-            server.relieved_at = self.now
+            self.note_moves(server, f"carries {own:.0f}, others {fair:.0f}; moving, {load:.0f} first")
 
     def move_order(self, sess: Session, room_elsewhere: bool) -> tuple[float, float]:
         """Heaviest first; where no other server has room, those of the least utility before that."""
