SIGHUP reloads the file; bad lines are answered unread, and sockets are kept for dials

Ruled out: memory (22 of 80 MB), CPU (0.2 s in a second), lines of 60 MB.

At fault: Wakeup (no SIGHUP), clients.py FIRST_LINE_WITHIN, take_line and on_bytes, Door.ready (took all sockets in), service.opened (no look at the id, at `d`'s size, at what follows the line).

Now: the first line has 2 s whatever PINGs come; a crowd's oldest give way while fewer than an eighth of the descriptors are free; lines are looked at whole; what follows the line before the answer is an error; who sent an error is not read any more; ring buffers are made when first used. SIGHUP is heard from before the file is first read; the file's discovery wins over the environment, its whole list is asked for at once, the old one's calls are dropped; sessions and sums stay. Servers missing in a whole list have their sessions moved, as with those that drain.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -14,10 +14,12 @@
 T is in tenths of a millisecond. `N` names a session, `S` a server; `dial N S` may say `dial N *`.
 """
 
+import contextlib
 import json
 import os
 import resource
 import select
+import signal
 import socket
 import struct
 import subprocess
@@ -219,7 +221,10 @@
     known A B:DRAINING C!    the servers known at the start; `!` marks one that refuses connections
     set KEY=VALUE ...        before `start`: changes the deployment (keys of any of its parts)
     descriptors N            before `start`: so many may the program hold
-    crowd N, disperse        so many clients connect and say nothing; they go
+    crowd N                  so many clients connect and say nothing
+    crowd floods N           they send N bytes without an end, as far as it is taken, and read nothing
+    crowd gone               each of them is answered or ended
+    reload NAME              the file is replaced (new discovery, or `spoiled`), and SIGHUP comes thrice
     start                    starts the program and waits until it answers PING
     client N opens FIGURES   connects and sends OPEN; `client N connects` only connects
     client N VERB TEXT       says a line, sends bytes, gets a line (a pattern), `end` or `reset`; ends,
@@ -248,6 +253,8 @@
         self.log = b""
         self.descriptors = 0  # that the program may hold, 0 for as many as this process
         self.crowd: list[socket.socket] = []
+        self.folder = tempfile.TemporaryDirectory()
+        self.file = Path(self.folder.name, "told.json")
 
     @staticmethod
     def listen() -> socket.socket:
@@ -258,7 +265,7 @@
     def run(self) -> None:
         try:
             for number, line in enumerate(self.path.read_text().splitlines(), 1):
-                words = line.split("#")[0].split(maxsplit=2)
+                words = line.split("#")[0].rstrip().split(maxsplit=2)
                 if words:
                     try:
                         self.step(words[0], words[1:])
@@ -269,6 +276,7 @@
                 self.program.kill()
                 self.program.wait()
                 self.program.stdout.close()
+            self.folder.cleanup()
             ends = [*self.crowd, *self.doors.values(), self.discovery, *(p.sock for p in self.peers())]
             for sock in ends:
                 sock.close()
@@ -305,27 +313,47 @@
     def on_descriptors(self, count: str) -> None:
         self.descriptors = int(count)
 
-    def on_crowd(self, count: str) -> None:
-        self.crowd = [self.connect() for _ in range(int(count))]
-
-    def on_disperse(self) -> None:
-        for sock in self.crowd:
-            sock.close()
+    def on_crowd(self, what: str, count: str = "") -> None:
+        if what == "floods":
+            for sock in self.crowd:
+                sock.setblocking(False)
+                with contextlib.suppress(BlockingIOError, ConnectionError):
+                    sock.sendall(b"x" * int(count))
+        elif what == "gone":
+            for sock in self.crowd:
+                assert select.select([sock], [], [], PATIENCE)[0], "a connection is kept"
+        else:
+            self.crowd = [self.connect() for _ in range(int(what))]
 
-    def on_start(self) -> None:
+    def on_reload(self, what: str) -> None:
+        if what == "spoiled":
+            text = "{"
+        else:
+            self.discovery = self.listen()
+            self.calls = []
+            text = self.told()
+        new = self.file.with_suffix(".new")
+        new.write_text(text)
+        new.replace(self.file)
+        for _ in range(3):
+            self.program.send_signal(signal.SIGHUP)
+
+    def told(self) -> str:
         told = {
             "name": "b", "listen": "127.0.0.1:0", "seed": "a5", "settings": self.settings,
             "discovery": f"127.0.0.1:{self.discovery.getsockname()[1]}",
             "known": {"version": 7, "full": True, "servers": self.known},
         }  # fmt: skip
-        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
-            json.dump(told, file)
-            file.flush()
-            command = [sys.executable, "-m", "thymedeck", "serve", "--config", file.name]
-            limit = (self.descriptors, self.descriptors)
-            few = partial(resource.setrlimit, resource.RLIMIT_NOFILE, limit) if self.descriptors else None
-            self.program = subprocess.Popen(command, stdout=subprocess.PIPE, preexec_fn=few)
-            self.address = self.on_log('*"event":"started"*')["listen"].split(":")
+        return json.dumps(told)
+
+    def on_start(self) -> None:
+        self.file.write_text(self.told())
+        command = [sys.executable, "-m", "thymedeck", "serve", "--config", str(self.file)]
+        limit = (self.descriptors, self.descriptors)
+        few = partial(resource.setrlimit, resource.RLIMIT_NOFILE, limit) if self.descriptors else None
+        env = os.environ | {"LB_DISCOVERY": json.loads(self.told())["discovery"]}
+        self.program = subprocess.Popen(command, stdout=subprocess.PIPE, preexec_fn=few, env=env)
+        self.address = self.on_log('*"event":"started"*')["listen"].split(":")
         probe = Peer(self.connect())
         probe.act("says", "PING")
         probe.act("gets", "PONG")
--- a/thymedeck/__main__.py
+++ b/thymedeck/__main__.py
@@ -4,7 +4,7 @@
 import os
 import sys
 
-from .net.service import Service
+from .net.service import Service, Wakeup
 from .net.told import StartError, read_start
 
 VERSION = "0.2.0"
@@ -25,11 +25,12 @@
     try:
         if not given.config:
             raise StartError("no configuration: name its file with --config or LB_CONFIG")
+        wakeup = Wakeup() if given.command == "serve" else None
         start = read_start(given.config)
-        if given.command == "check":
+        if wakeup is None:
             print(f"{given.config}: ok, {len(start.told.settings.listeners)} listeners")
             return 0
-        Service(start).serve()
+        Service(start).serve(wakeup)
     except StartError as why:
         print(f"thymedeck: {why}", file=sys.stderr)
         return 2
--- a/thymedeck/net/clients.py
+++ b/thymedeck/net/clients.py
@@ -13,13 +13,15 @@
 if TYPE_CHECKING:
     from .service import Service
 
-FIRST_LINE_WITHIN = 100_000
+FIRST_LINE_WITHIN = 20_000  # from being taken in, whatever PINGs come before it
+MOST_PINGS = 8
 FULL_PAUSE = 500  # nothing is taken in for so long when there are no sockets left
 LINGER = 10_000  # the other side gets so long to read the last bytes
+BAD_LINGER = 3_000  # and so long if it speaks something else
 HALF_OPEN = 50_000  # a connection with one side ended is kept so long
 MOVE_WITHIN = 3_000  # for a line to end, so that MOVE comes between two
 BACKLOG = 512
-AT_ONCE = 64  # connections taken in before others have their turn
+AT_ONCE = 32  # connections taken in before others have their turn
 
 
 class Door:
@@ -52,7 +54,18 @@
                     self.mask = 0
                     self.service.loop.after(FULL_PAUSE, self.await_clients)
                 return
-            Client(self.service, sock)
+            self.take_in(sock)
+
+    def take_in(self, sock: socket.socket) -> None:
+        """Guards against a crowd that says nothing, or stays on, and takes the sockets that dials need."""
+        loose, loop = self.service.loose, self.service.loop
+        if loop.free <= loop.reserve and loose:
+            oldest = next(iter(loose))
+            oldest.answer(b"BUSY\r\n", Ending.PUSHED_OUT)
+            oldest.close()
+        client = Client(self.service, sock)
+        if loop.free < loop.reserve:
+            client.answer(b"BUSY\r\n", Ending.PUSHED_OUT)
 
     def close(self) -> None:
         if self.is_open:
@@ -74,7 +87,9 @@
         self.moving = False
         self.done = False
         self.asked_at = -1  # when the first line went on that nothing has come back for
+        self.pings = 0
         self.due = self.loop.after(FIRST_LINE_WITHIN, self.no_line)
+        service.loose[self] = None
         self.await_more()
 
     # Before the session stands
@@ -88,8 +103,12 @@
                 self.asked_at = self.loop.now()
             self.dial.flush()
             return
-        if self.words or self.done:
-            return  # waits in the ring until the session stands
+        if self.done:
+            return
+        if self.words:
+            # Guards against a peer that sends command after command: a client waits for its answer.
+            self.answer(b"ERR wait for the answer\r\n", Ending.MALFORMED)
+            return
         try:
             while not self.words and not self.done and (line := first_line(self.inbound)) is not None:
                 self.inbound.skip(len(line))
@@ -98,12 +117,12 @@
             self.answer(b"ERR line too long\r\n", Ending.MALFORMED)
 
     def take_line(self, line: bytes) -> None:
-        self.due.cancel()
         if line != b"PING":
+            self.due.cancel()
             self.service.opened(self, line)
-        elif self.service.is_able:
+        elif self.service.is_able and self.pings < MOST_PINGS:
+            self.pings += 1
             self.say(b"PONG\r\n")
-            self.due = self.loop.after(FIRST_LINE_WITHIN, self.no_line)
         else:
             self.finish(Ending.IDLE)
 
@@ -235,8 +254,16 @@
         if linger and self.open:
             # Guards against a reset that overtakes the last line when the client's next bytes come.
             self.deaf = True
+            # Guards against work for what such a peer goes on sending at full speed: it is not read.
+            self.mute = ending is Ending.MALFORMED
             self.partner = None
+            self.service.loose[self] = None
+            self.due = self.loop.after(BAD_LINGER if self.mute else LINGER, self.close)
             self.end_sending()
-            self.due = self.loop.after(LINGER, self.close)
         else:
             self.close()
+
+    def close(self, reset: bool = False) -> None:
+        self.due.cancel()
+        self.service.loose.pop(self, None)
+        super().close(reset)
--- a/thymedeck/net/connection.py
+++ b/thymedeck/net/connection.py
@@ -29,9 +29,11 @@
         self.end_wanted = False  # our sending ends once the ring is empty
         self.end_sent = False
         self.deaf = False  # what comes is no longer wanted
+        self.mute = False  # and is not even read
         self.partner: Connection | None = None  # reads into our `outbound`
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        loop.free -= 1
 
     def connect(self, address: tuple[str, int]) -> str:
         """Begins to connect; returns why that failed at once, if it did."""
@@ -125,7 +127,7 @@
         mask = 0
         if self.connecting or (self.outbound.held and not self.end_sent):
             mask |= WRITE
-        if not self.connecting and not self.heard_end and (self.deaf or self.inbound.room):
+        if not (self.connecting or self.heard_end or self.mute) and (self.deaf or self.inbound.room):
             mask |= READ
         self.loop.watch(self.sock, self.mask, mask, self)
         self.mask = mask
@@ -147,3 +149,4 @@
         if reset:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self.sock.close()
+        self.loop.free += 1
--- a/thymedeck/net/endings.py
+++ b/thymedeck/net/endings.py
@@ -26,6 +26,7 @@
     ANSWERED = auto()  # with a refusal or a failure
     MALFORMED = auto()
     IDLE = auto()  # no line came
+    PUSHED_OUT = auto()  # to leave sockets to others
     STOPPED = auto()  # this balancer ends
 
 
@@ -47,5 +48,6 @@
     Ending.ANSWERED: Outcome.CANCELLED,
     Ending.MALFORMED: Outcome.CANCELLED,
     Ending.IDLE: Outcome.CANCELLED,
+    Ending.PUSHED_OUT: Outcome.CANCELLED,
     Ending.STOPPED: Outcome.CANCELLED,
 }
--- a/thymedeck/net/lines.py
+++ b/thymedeck/net/lines.py
@@ -5,6 +5,12 @@
 from .ring import Ring
 
 LONGEST = 4096
+PRINTABLE = bytes(range(0x21, 0x7F))
+
+
+def readable(word: bytes) -> bool:
+    """Whether it is a word at all, of nothing but printable characters."""
+    return bool(word) and not word.translate(None, PRINTABLE)
 
 
 class Garbled(Exception):
--- a/thymedeck/net/loop.py
+++ b/thymedeck/net/loop.py
@@ -8,6 +8,8 @@
 from typing import Protocol
 
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
+OWN_DESCRIPTORS = 10  # that the program holds beside connections
+RESERVE = 8  # the part of what it may hold that is kept for dials and for the list
 
 
 class Ready(Protocol):
@@ -28,13 +30,21 @@
 
 
 class Loop:
-    def __init__(self, on_fault: Callable[[BaseException], None]) -> None:
+    def __init__(self, on_fault: Callable[[BaseException], None], most: int) -> None:
+        self.most = self.free = 0  # descriptors for connections, and those of them not in use
+        self.limit(most)
         self.selector = selectors.DefaultSelector()
         self.timers: list[tuple[int, int, Due]] = []
         self.count = 0
         self.on_fault = on_fault
         self.running = False
 
+    def limit(self, most: int) -> None:
+        """How many descriptors the program may hold."""
+        self.free += most - OWN_DESCRIPTORS - self.most
+        self.most = most - OWN_DESCRIPTORS
+        self.reserve = most // RESERVE
+
     @staticmethod
     def now() -> int:
         return time.monotonic_ns() // 100_000
--- a/thymedeck/net/ring.py
+++ b/thymedeck/net/ring.py
@@ -6,12 +6,11 @@
 
 
 class Ring:
-    __slots__ = ("at", "data", "held", "size", "view")
+    __slots__ = ("at", "held", "size", "view")
 
     def __init__(self, size: int = SIZE) -> None:
         self.size = size
-        self.data = bytearray(size)
-        self.view = memoryview(self.data)
+        self.view: memoryview | None = None  # Guards against memory for peers that never say a thing.
         self.at = 0
         self.held = 0
 
@@ -21,6 +20,8 @@
 
     def parts(self, start: int, length: int) -> list[memoryview]:
         """The one or two stretches that hold so many bytes from this place on."""
+        if self.view is None:
+            self.view = memoryview(bytearray(self.size))
         start %= self.size
         end = start + length
         if end <= self.size:
--- a/thymedeck/net/serverlist.py
+++ b/thymedeck/net/serverlist.py
@@ -114,6 +114,16 @@
             self.following = True
             self.ask(0)
 
+    def turn_to(self, address: tuple[str, int]) -> None:
+        """Asks another address for the whole list at once; nothing of the old one counts any more."""
+        if address == self.address and self.following:
+            return
+        self.close()
+        self.address = address
+        self.version = -1
+        self.following = True
+        self.ask(0)
+
     def ask(self, wait: int) -> None:
         target = PATH
         if self.version >= 0:
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -1,6 +1,7 @@
 """One balancer on sockets: turns what happens to connections into events, and actions into what they do."""
 
 import contextlib
+import resource
 import signal
 import socket
 import time
@@ -12,16 +13,18 @@
 from ..stated import LEAST_WEIGHT, deployment
 from .clients import Client, Door
 from .endings import OUTCOMES, Ending
+from .lines import readable
 from .log import EventLog
 from .loop import READ, Loop
 from .serverlist import Follower
 from .servers import Dialled, Known
-from .told import Listing, Start, address
+from .told import Listing, Start, StartError, Told, address, read_again
 
 SECOND = 10_000
 STATES = {"SERVING": own.State.READY, "DRAINING": own.State.DRAINING, "DELETED": own.State.GONE}
 FIXED_WITHIN = 35 * SECOND  # for a session that stood before to be up again
 FIXED_PAUSE = 2_000
+LONGEST_WAIT = 86_400_000  # that a client may state, in milliseconds
 MOST_LOAD = 1e12  # a figure beyond this, or none at all, is no load
 DRAIN_WITHIN = SECOND  # within which the sessions of a server that drains are moved
 SILENT = 5 * SECOND  # a line that nothing has come back for so long tells of a connection that is dead
@@ -31,22 +34,38 @@
 
 
 class Wakeup:
-    """Signals, heard by the loop."""
+    """Signals, kept from its making on and heard by the loop once that runs."""
 
-    def __init__(self, service: "Service") -> None:
-        self.service = service
+    def __init__(self) -> None:
+        self.heard: set[int] = set()
+        self.service: Service | None = None
         self.sock, self.far = socket.socketpair()
         for one in (self.sock, self.far):
             one.setblocking(False)
         signal.set_wakeup_fd(self.far.fileno(), warn_on_full_buffer=False)
-        for which in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(which, lambda *_: None)
+        for which in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(which, lambda number, _: self.heard.add(number))
+
+    def wake(self, service: "Service") -> None:
+        self.service = service
         service.loop.watch(self.sock, 0, READ, self)
 
     def ready(self, mask: int) -> None:
         with contextlib.suppress(BlockingIOError):
-            self.sock.recv(64)
-        self.service.stop()
+            while self.sock.recv(4096):
+                pass
+        # Guards against a signal lost among many: those of a kind that came together are one.
+        heard, self.heard = self.heard, set()
+        if signal.SIGHUP in heard:
+            self.service.reload()
+        if heard - {signal.SIGHUP}:
+            self.service.stop()
+
+
+def descriptors(told: Told) -> int:
+    """How many the program may hold, of what it is told and what the system grants the less."""
+    granted = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    return told.limits.sockets if granted == resource.RLIM_INFINITY else min(granted, told.limits.sockets)
 
 
 class Service:
@@ -54,7 +73,8 @@
         told = start.told
         env = told.settings
         self.log = EventLog(told.name)
-        self.loop = Loop(self.log.fault)
+        self.path = start.path
+        self.loop = Loop(self.log.fault, descriptors(told))
         # The protocol has no probes and does not tell what messages take; connections end here.
         self.site = replace(deployment(env), may_probe=False, tells_delay=False, passes_through=False)
         self.balancer = Balancer(start.seed, self.site)
@@ -64,6 +84,8 @@
         self.server_index: dict[str, int] = {}
         self.servers: list[Known] = []
         self.clients: dict[int, Client] = {}
+        self.idents: set[bytes] = set()  # of these
+        self.loose: dict[Client, None] = {}  # those that no session needs, oldest first
         self.next_sess = 0
         self.events: deque[own.Event] = deque()
         self.telling = False
@@ -78,8 +100,8 @@
         if not self.site.list_on_request:
             self.follower.follow()
 
-    def serve(self) -> None:
-        self.wakeup = Wakeup(self)
+    def serve(self, wakeup: Wakeup) -> None:
+        wakeup.wake(self)
         self.door = Door(self, self.listen)
         self.is_able = True
         self.loop.after(SECOND, self.each_second)
@@ -124,23 +146,38 @@
                 self.log("mode", text=action.text)
 
     def answer(self, sess: int, line: bytes) -> None:
-        client = self.clients.pop(sess, None)
+        client = self.let_go(sess)
         if client is not None:
             self.log("answer", sess=sess, line=line.decode().strip())
             client.answer(line, Ending.ANSWERED)
 
     # Sessions
 
+    def let_go(self, sess: int) -> Client | None:
+        client = self.clients.pop(sess, None)
+        if client is not None:
+            self.idents.discard(client.words[1])
+        return client
+
     def opened(self, client: Client, line: bytes) -> None:
-        words = line.split(b" ")
+        """The whole line is looked at before anything is dialled for it."""
         try:
-            verb, ident, key, text = words
+            verb, ident, key, text = line.split(b" ")
             pairs = [one.partition(b"=") for one in text.split(b",")]
             figures = {name: value for name, _, value in pairs}
             wait = int(figures[b"d"])
             listener = self.listeners[figures[b"c"]]
             hint = float(figures[b"h"]) if b"h" in figures else None
-            if verb != b"OPEN" or wait < 0 or b"\0" in line or not 0 <= (hint or 0) < MOST_LOAD:
+            if (
+                verb != b"OPEN"
+                or not (readable(ident) and readable(key) and readable(text))
+                or len(figures) < len(pairs)
+                or not figures[b"d"].isdigit()
+                or wait > LONGEST_WAIT
+                or not 0 <= (hint or 0) < MOST_LOAD
+                or client.inbound.held  # a client waits for its answer
+                or ident in self.idents  # new with every connection: that session is another's
+            ):
                 raise ValueError
         except (ValueError, KeyError):
             # Guards against a peer that speaks something else: it is told so, and the loop goes on.
@@ -148,6 +185,7 @@
             client.answer(b"ERR malformed\r\n", Ending.MALFORMED)
             return
         shown = [(name, b"\0" if name == b"d" else value) for name, _, value in pairs]
+        self.loose.pop(client, None)
         client.words = [verb, ident, key, b",".join(b"%s=%s" % pair for pair in shown)]
         subject = key.decode("latin-1")
         sess = client.sess = self.next_sess
@@ -159,12 +197,14 @@
                 client.answer(b"ERR no such server\r\n", Ending.ANSWERED)
                 return
             self.clients[sess] = client
+            self.idents.add(ident)
             client.fixed = server
             client.fixed_until = self.loop.now() + FIXED_WITHIN
             self.tell(own.SessionStands(sess, listener, hint, subject, server))
             self.dial_fixed(client)
             return
         self.clients[sess] = client
+        self.idents.add(ident)
         client.await_answer(wait * 10)
         self.tell(own.SessionCame(sess, listener, wait * 10, hint, subject, figures.get(b"mid_flow") == b"1"))
 
@@ -208,7 +248,7 @@
             if outcome in own.NEVER_RAN and self.loop.now() + FIXED_PAUSE < client.fixed_until:
                 self.loop.after(FIXED_PAUSE, lambda: self.dial_fixed(client))
                 return
-            del self.clients[client.sess]
+            self.let_go(client.sess)
             self.tell(own.DialEnded(client.sess, dial.server, outcome, True, None))
             client.answer(b"ERR not up\r\n", Ending.ANSWERED)
             return
@@ -220,7 +260,7 @@
         if client.standing:
             self.session_over(client, ending)
             dial.close()
-        elif self.clients.pop(client.sess, None) is not None:
+        elif self.let_go(client.sess) is not None:
             self.tell(own.SessionLeft(client.sess))
             if dial is not None:
                 dial.finish(ending)
@@ -228,7 +268,7 @@
 
     def session_over(self, client: Client, ending: Ending) -> None:
         """A standing session has ended, told once."""
-        if self.clients.pop(client.sess, None) is None:
+        if self.let_go(client.sess) is None:
             return
         server = client.dial.server
         self.servers[server].standing.discard(client)
@@ -296,6 +336,11 @@
                 self.drains(index)
             entries.append(own.Entry(index, self.zones.get(row.zone, -1), row.cell, state, started, weight))
             self.log("listed", kind=kind.name, server=index, id=row.id, state=row.state, started=started)
+        if kind is own.ListKind.WHOLE:
+            named = {entry.server for entry in entries}
+            for index in range(len(self.servers)):
+                if index not in named:
+                    self.drains(index)
         self.tell(own.ServerList(kind, entries))
 
     def drains(self, index: int) -> None:
@@ -316,6 +361,22 @@
         if not self.site.list_on_request:
             self.loop.after(SECOND, self.follower.follow)
 
+    # A new configuration
+
+    def reload(self) -> None:
+        """Reads the file again; what stands, and what is known of the servers, stays."""
+        if self.stopping:
+            return
+        try:
+            told, discovery = read_again(self.path)
+        except StartError as why:
+            # Guards against a file that is being written or is wrong: the old configuration goes on.
+            self.log("not_reloaded", why=str(why))
+            return
+        self.loop.limit(descriptors(told))
+        self.log("reloaded", discovery="{}:{}".format(*discovery))
+        self.follower.turn_to(discovery)
+
     # The end
 
     def stop(self) -> None:
--- a/thymedeck/net/told.py
+++ b/thymedeck/net/told.py
@@ -1,6 +1,8 @@
 """What a balancer is told at its start, read from its file of JSON."""
 
+import contextlib
 import os
+from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -31,6 +33,10 @@
     servers: list[Row] = []
 
 
+class Limits(msgspec.Struct):
+    sockets: int = 1 << 20
+
+
 class Told(msgspec.Struct):
     name: str
     listen: str
@@ -38,10 +44,12 @@
     settings: Env
     seed: str = "0"
     known: Listing | None = None
+    limits: Limits = msgspec.field(default_factory=Limits)
 
 
 @dataclass(frozen=True)
 class Start:
+    path: str
     told: Told
     listen: tuple[str, int]
     discovery: tuple[str, int]
@@ -55,18 +63,36 @@
     return host, int(port)
 
 
-def read_start(path: str) -> Start:
-    """Environment variables win over the file, as they are what the platform sets last."""
+def read(path: str) -> Told:
+    told = msgspec.json.decode(Path(path).read_bytes(), type=Told)
+    if not told.settings.listeners:
+        raise ValueError("the settings name no listeners")
+    return told
+
+
+@contextlib.contextmanager
+def plainly(path: str) -> Iterator[None]:
+    """Says in one line what is wrong with the file."""
     try:
-        told = msgspec.json.decode(Path(path).read_bytes(), type=Told)
-        listen = address(os.environ.get("LB_LISTEN", told.listen))
-        discovery = address(os.environ.get("LB_DISCOVERY", told.discovery))
-        told.name = os.environ.get("LB_NAME", told.name)
-        seed = int(told.seed, 16)
-        if not told.settings.listeners:
-            raise ValueError("the settings name no listeners")
+        yield
     except OSError as why:
         raise StartError(f"{path}: {why.strerror}") from why
     except (ValueError, msgspec.MsgspecError) as why:
         raise StartError(f"{path}: {why}") from why
-    return Start(told, listen, discovery, seed)
+
+
+def read_start(path: str) -> Start:
+    """Environment variables win over the file, as they are what the platform sets last."""
+    with plainly(path):
+        told = read(path)
+        listen = address(os.environ.get("LB_LISTEN", told.listen))
+        discovery = address(os.environ.get("LB_DISCOVERY", told.discovery))
+        told.name = os.environ.get("LB_NAME", told.name)
+        return Start(path, told, listen, discovery, int(told.seed, 16))
+
+
+def read_again(path: str) -> tuple[Told, tuple[str, int]]:
+    """A file that was replaced is newer than the environment: its discovery wins."""
+    with plainly(path):
+        told = read(path)
+        return told, address(told.discovery)
