Message times that come as LOAD lines on the beat of a second are told to the module

At a slow server one connection gets a LOAD line every 1.0000 s (+-0.2 ms), the same figure at both balancers: 135, 393, 741, 765 at a server that ages; 20 and less as it gets well. These are notes of the settings' second kind, the milliseconds that a message takes: the protocol has one word for both kinds. They were taken for the load of that one session (a session of 40668 was counted as 1013), and what they say was not heard. Ruled out: answers to clients' lines (0.1 ms at the same server), LOAD lines being late there (as many as elsewhere), a second balancer's doing (same figures, same beat).

At fault: service.load_line (every figure was a load) and `tells_delay=False` in service.py, which was put there as sockets seemed not to tell.

Now: net/notes.py finds the beat of a server by two lines on one connection 1 s +-1.5 ms apart, keeps it within 5 ms, gives the figure back as DelayTold, and takes the first, mistaken load back. Two real loads so close came 3 times in 8 logs of 25 s.

--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from thymedeck.net.notes import Beat, Figures
+
 from .helpers import NetPlay, Play
 
 FOLDER = Path(__file__).parent / "scenarios"
@@ -17,3 +19,15 @@
 @pytest.mark.parametrize("path", sorted(FOLDER.glob("net/*.txt")), ids=lambda path: path.stem)
 def test_scenario_on_sockets(path: Path) -> None:
     NetPlay(path).run()
+
+
+def test_notes_are_told_apart() -> None:
+    """The lines of a file: time, connection, and whether its line is a load or a message's time."""
+    beat, told = Beat(), {}
+    for line in (FOLDER / "told" / "notes_on_the_beat.txt").read_text().splitlines():
+        if words := line.split("#")[0].split():
+            now, figures = int(words[0]), told.setdefault(words[1], Figures())
+            kind = "delay" if beat.is_on(now, figures) else "load"
+            if kind == "load":
+                figures.take(now, 1.0)
+            assert kind == words[2], line
--- a/thymedeck/net/servers.py
+++ b/thymedeck/net/servers.py
@@ -7,6 +7,7 @@
 from .connection import Connection
 from .endings import Ending
 from .lines import Garbled, Lines, first_line
+from .notes import Beat, Figures
 
 if TYPE_CHECKING:
     from .clients import Client
@@ -18,10 +19,11 @@
 class Known:
     """A server by its index at the decisions' door."""
 
-    __slots__ = ("address", "delays", "slow", "standing")
+    __slots__ = ("address", "beat", "delays", "slow", "standing")
 
     def __init__(self, address: tuple[str, int]) -> None:
         self.address = address
+        self.beat = Beat()
         self.delays: deque[int] = deque(maxlen=SAMPLES)
         self.slow = False  # its messages were told to be slow
         self.standing: set[Client] = set()
@@ -42,6 +44,7 @@
         self.standing = False
         self.over = False  # its ending has been told
         self.lines = Lines()
+        self.figures = Figures()
         self.last_word = Ending.SERVER_ENDED  # what its end would mean now
         self.connect_due = self.loop.after(connect_within, self.not_up_in_time)
         self.limit_due = self.loop.after(limit, self.limit_passed)
@@ -103,7 +106,7 @@
         """Reads along for loads, answers and last words; the bytes go on unchanged."""
         for line in self.lines.take(self.inbound.newest(count)):
             if line.startswith(b"LOAD "):
-                self.service.load_line(self.client, line)
+                self.service.load_line(self, line)
                 continue
             if line == b"BYE":
                 self.last_word = Ending.SERVED
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -75,8 +75,8 @@
         self.log = EventLog(told.name)
         self.path = start.path
         self.loop = Loop(self.log.fault, descriptors(told))
-        # The protocol has no probes and does not tell what messages take; connections end here.
-        self.site = replace(deployment(env), may_probe=False, tells_delay=False, passes_through=False)
+        # The protocol has no probes; connections end here.
+        self.site = replace(deployment(env), may_probe=False, passes_through=False)
         self.balancer = Balancer(start.seed, self.site)
         self.listeners = {one.name.encode(): at for at, one in enumerate(env.listeners)}
         self.zones = {name: at for at, name in enumerate(env.zones)}
@@ -277,13 +277,21 @@
 
     # What lines tell
 
-    def load_line(self, client: Client, line: bytes) -> None:
+    def load_line(self, dial: Dialled, line: bytes) -> None:
         try:
             load = float(line[5:])
         except ValueError:
             return
-        if 0 <= load < MOST_LOAD and client.sess in self.clients:
-            self.tell(own.LoadTold(client.sess, load))
+        sess, now, figures = dial.client.sess, self.loop.now(), dial.figures
+        if not 0 <= load < MOST_LOAD or sess not in self.clients:
+            return
+        if self.site.tells_delay and self.servers[dial.server].beat.is_on(now, figures):
+            if figures.came_a_beat_ago(now) and figures.before is not None:
+                self.tell(own.LoadTold(sess, figures.before))  # that line was such a note too
+            self.tell(own.DelayTold(sess, dial.server, int(load * 10)))
+            return
+        figures.take(now, load)
+        self.tell(own.LoadTold(sess, load))
 
     def message_took(self, server: int, took: int) -> None:
         self.servers[server].delays.append(took)
--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -64,8 +64,7 @@
 LOOK_EVERY = SECOND  # full servers are counted again after this; notes come as often
 RELIEF_PAUSE = 3 * SECOND  # until a report shows what the last moves brought
 LIST_PART = 0.005  # of the time within which the list is to be asked, left to each balancer's call
-SLOW_RUN = 2  # last set-ups at a server that tell of slow messages where nothing else does
-SLOW_STEP = 4  # notes on slow messages that one of these stands for, as the next comes late
+SLOW_RUN = 3  # last set-ups at a server that tell of slow messages where nothing else does
 UNEVEN = 1.5  # times the others' mean sum, above which a server is relieved where nobody tells of full ones
 CORE = 1_000_000  # load that no server is too small for
 PLANNED_DIALS = 3  # dials for which the time to the dial timeout is divided
@@ -492,8 +491,6 @@
             elif outcome not in (Outcome.CANCELLED, Outcome.UNSENT):
                 self.burden(server, lost)
                 self.set_up_went(server, False, outcome is Outcome.UNREACHABLE)
-                if outcome is Outcome.OVERDUE and not self.site.tells_delay:
-                    self.judge_set_up(server, self.now - sess.dialled_at)
         if event.complete or sess.standing or sess.finished:
             del self.sessions[event.sess]
             return
@@ -760,19 +757,18 @@
         """Guards against full servers that nobody tells of: set-ups wait for the same cores as messages.
 
         What the last few took beyond the quickest in that zone, less the usual, counts as a message's delay.
-        The share moved lets the sum fall below the one learned, so that the next set-up tells if it was enough.
         """
         quickest = self.quickest[server.zone] = min(took, self.quickest.get(server.zone, took))
         server.waits.append(took - quickest)
         self.waits.append(took - quickest)
-        server.lag = sum(server.waits) // len(server.waits) - sorted(self.waits)[len(self.waits) // 2]
-        lag = server.lag * len(server.waits) // SLOW_RUN
-        self.take_delay(server, lag if lag > self.shortest_aim else 0, SLOW_STEP)
+        if len(server.waits) == SLOW_RUN:
+            server.lag = sum(server.waits) // SLOW_RUN - sorted(self.waits)[len(self.waits) // 2]
+            self.take_delay(server, server.lag)
 
     def on_delay(self, event: DelayTold) -> None:
         self.take_delay(self.servers[event.server], event.delay)
 
-    def take_delay(self, server: Server, delay: int, step: int = 1) -> None:
+    def take_delay(self, server: Server, delay: int) -> None:
         server.delay = delay if 3 * delay > self.shortest_aim else 0
         server.slow_until = self.now + NOTE_LIFE if server.delay else -1
         if server.delay:
@@ -786,7 +782,7 @@
             return
         # The share grows with each further note past the aim: a heavy session that fits no small share
         # must go too, and a hung server is left soon.
-        server.over += step
+        server.over += 1
         hung = delay > self.hung_delay
         share = MOST_MOVED if hung else min(SHARE_STEP * (1 + server.over), MOST_MOVED)
         self.relieve(server, share, SECOND // 2)
