At SIGTERM sessions are served on and moved in the last second left

Checked in the logs: the one told to stop second began moving its 148 sessions 0.5 s after the signal and was gone 1.65 s after it, at 17.59 s; the first was started again at 17.59 s, so that for 1.1 s clients had been sent away while none was there. Ruled out: the list (followed at both), the new addresses (reloaded 5 s before), dials (none failed then).

At fault: Service.leave, which spread the moves over the first half of the time left.

Now they begin 1.9 s after the signal and take a second; the list is followed meanwhile. Nothing is taken in any longer than before, and the process ends 0.3 s before it could be killed, as before.

--- a/thymedeck/net/servers.py
+++ b/thymedeck/net/servers.py
@@ -99,7 +99,7 @@
         if self.open:
             self.learn(self.inbound.held)
             self.client.flush()
-            if self.service.stopping:
+            if self.service.late:
                 self.client.move()
 
     def learn(self, count: int) -> None:
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -31,6 +31,8 @@
 STILL_ACCEPTING = 5_000  # after the signal to stop, as the front notices late
 LONGEST_STOP = 3 * SECOND
 STOP_RESERVE = 3_000  # left when the process ends before it could be killed
+LEAVE_WITHIN = SECOND  # within which all standing sessions are moved then
+ANSWER_RESERVE = 5_000  # for what is still to be answered or in the middle of a line after that
 
 
 class Wakeup:
@@ -91,6 +93,7 @@
         self.telling = False
         self.is_able = False
         self.stopping = False
+        self.late = False  # the time left is for moving what stands
         self.door: Door | None = None
         version = -1 if told.known is None else told.known.version
         self.follower = Follower(self, start.discovery, self.site.ask_within // 2, version)
@@ -402,13 +405,19 @@
         if self.door is not None:
             self.door.ready(READ)  # what has come but was not taken in yet
             self.door.close()
-        self.follower.close()
-        standing = [client for client in self.clients.values() if client.standing]
-        self.log("leaving", sessions=len(self.clients), standing=len(standing))
-        self.move_within(max(self.last - self.loop.now() - SECOND, 0) // 2, standing)
-        self.loop.after(max(self.last - self.loop.now() - SECOND // 2, 0), self.answer_rest)
+        self.log("leaving", sessions=len(self.clients))
+        rest = max(self.last - self.loop.now() - ANSWER_RESERVE, 0)
+        self.loop.after(max(rest - LEAVE_WITHIN, 0), lambda: self.move_all(min(rest, LEAVE_WITHIN)))
+        self.loop.after(rest, self.answer_rest)
         self.end_when_empty()
 
+    def move_all(self, span: int) -> None:
+        """Late: guards against clients sent away while the balancer restarted before this one is not back."""
+        standing = [client for client in self.clients.values() if client.standing]
+        self.log("moving", sessions=len(standing))
+        self.late = True
+        self.move_within(span, standing)
+
     def answer_rest(self) -> None:
         for client in list(self.clients.values()):
             if client.standing:
