Errors are held against a server once the session stands elsewhere; levelling is gone

Ruled out: the server that hung (another), sockets.

At fault: policy.on_dial_ended, where each error counted against its server at once.

Now errors wait until the session stands at another server (then they count) or is given up: with one server alone they count, with several the line is at fault and the fleet's watch counts one failure, not four.

--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -65,8 +65,6 @@
 RELIEF_PAUSE = 3 * SECOND  # until a report shows what the last moves brought
 LIST_PART = 0.005  # of the time within which the list is to be asked, left to each balancer's call
 SLOW_RUN = 3  # last set-ups at a server that tell of slow messages where nothing else does
-UNEVEN = 1.5  # times the others' mean sum, above which a server is relieved where nobody tells of full ones
-CORE = 1_000_000  # load that no server is too small for
 PLANNED_DIALS = 3  # dials for which the time to the dial timeout is divided
 
 
@@ -75,7 +73,7 @@
 
     __slots__ = (
         "asked_at", "asking", "cell", "crowded", "delay", "dials_out", "full_until", "handicap",
-        "handicap_at", "index", "lacking", "lag", "most", "over", "pressure", "recent", "relieved_at", "sent",
+        "handicap_at", "index", "lacking", "most", "over", "pressure", "recent", "relieved_at", "sent",
         "sick", "silent_until", "slow_until", "standing", "started", "state", "told", "told_at_report",
         "told_until", "trial_at", "trials", "waits", "weight", "zone",
     )  # fmt: skip
@@ -114,7 +112,6 @@
         self.delay = 0
         self.slow_until = -1
         self.waits: deque[int] = deque(maxlen=SLOW_RUN)  # of its last set-ups
-        self.lag = 0  # their mean over the usual wait
         self.pressure = 0.0
         self.told_at_report = 0.0
         self.told_until = -1  # how long its last report tells on which side of the cap it is
@@ -123,7 +120,7 @@
 
 class Session:
     __slots__ = (
-        "asked", "asked_last", "deadline", "dialled_at", "dials", "finished", "listener", "load",
+        "asked", "asked_last", "deadline", "dialled_at", "dials", "erred", "finished", "listener", "load",
         "may_have_run", "ran_at", "server", "standing", "subject", "tried",
     )  # fmt: skip
 
@@ -137,6 +134,7 @@
         self.dials = 0
         self.dialled_at = 0
         self.tried: list[int] = []
+        self.erred: list[Server] = []  # that answered with an error, not yet held against them
         self.server: Server | None = None  # where its predicted or told load is counted
         self.may_have_run: Server | None = None  # first server that may have run it
         self.ran_at = 0
@@ -301,16 +299,13 @@
         sess = self.sessions.get(event.sess)
         if sess is None or not self.site.present_load:
             return
-        first = sess.load is None
-        if first:
+        if sess.load is None:
             self.learn_load(event.load)
         server = sess.server
         self.leave(sess)
         sess.load = event.load
         if server is not None:
             self.join(sess, server)
-            if not self.site.tells_delay and not first:  # at the start not all sessions are told of yet
-                self.level(server)
 
     # Sessions
 
@@ -413,7 +408,18 @@
             return False
         return self.now - sess.ran_at <= listener.memory
 
+    def blame(self, sess: Session) -> None:
+        for server in sess.erred:
+            self.burden(server, self.load_of(sess))
+            self.set_up_went(server, False)
+        sess.erred = []
+
     def give_up(self, index: int, sess: Session) -> None:
+        if len(set(sess.erred)) == 1:
+            self.blame(sess)
+        elif sess.erred:
+            # Guards against a line that no server can use, taken for the fault of all that were dialled.
+            self.watch_fleet(sess.erred[0], False, False)
         listener = self.site.listeners[sess.listener]
         harmless = (
             sess.may_have_run is None
@@ -457,6 +463,7 @@
             self.judge_set_up(server, event.took)
         if sess is None:
             return
+        self.blame(sess)
         sess.standing = True
         if sess.finished:
             return
@@ -488,6 +495,8 @@
                 self.set_up_went(server, True)  # answered in one piece, without being established first
             elif outcome is Outcome.FULL:
                 server.full_until = self.now + int(self.uniform(self.try_wait / 2, self.try_wait))
+            elif outcome is Outcome.ERROR:
+                sess.erred.append(server)
             elif outcome not in (Outcome.CANCELLED, Outcome.UNSENT):
                 self.burden(server, lost)
                 self.set_up_went(server, False, outcome is Outcome.UNREACHABLE)
@@ -762,8 +771,8 @@
         server.waits.append(took - quickest)
         self.waits.append(took - quickest)
         if len(server.waits) == SLOW_RUN:
-            server.lag = sum(server.waits) // SLOW_RUN - sorted(self.waits)[len(self.waits) // 2]
-            self.take_delay(server, server.lag)
+            usual = sorted(self.waits)[len(self.waits) // 2]
+            self.take_delay(server, sum(server.waits) // SLOW_RUN - usual)
 
     def on_delay(self, event: DelayTold) -> None:
         self.take_delay(self.servers[event.server], event.delay)
@@ -819,32 +828,12 @@
             moved = 1
             self.out.append(Move(order[0][0]))
         if moved:
-            self.note_moves(
-                server,
-                f"past its cap: load {self.load_now(server):.2f}, message {server.delay / 10:.0f} ms; "
-                f"moving, {moved} of {len(server.standing)} first",
-            )
-
-    def note_moves(self, server: Server, text: str) -> None:
-        if self.now - server.relieved_at > LOG_PAUSE:
-            self.log(f"server {server.index} {text}")
-        server.relieved_at = self.now
-
-    def level(self, server: Server) -> None:
-        """Guards against loads that have grown on a slow server which nobody tells of: it gets no set-up.
-
-        A session that is most of the surplus would only take it along; a server quicker than most has room.
-        """
-        others = [s for s in self.ready if s is not server and not s.sick]
-        if not others or self.storm or server.lag < 0 or self.now - server.relieved_at < SECOND:
-            return
-        own, fair = self.own_sum(server), self.mean_sum(others)
-        surplus = own - fair if own > max(UNEVEN * fair, CORE / self.site.replicas) else 0.0
-        loads = ((self.load_of(sess), index) for index, sess in server.standing.items())
-        load, index = max((one for one in loads if one[0] <= surplus / 2), default=(0.0, -1))
-        if load >= self.mean / 2:
-            self.out.append(Move(index))
-            self.note_moves(server, f"carries {own:.0f}, others {fair:.0f}; moving, {load:.0f} first")
+            if self.now - server.relieved_at > LOG_PAUSE:
+                self.log(
+                    f"server {server.index} past its cap: load {self.load_now(server):.2f}, message "
+                    f"{server.delay / 10:.0f} ms; moving, {moved} of {len(server.standing)} first"
+                )
+            server.relieved_at = self.now
 
     def move_order(self, sess: Session, room_elsewhere: bool) -> tuple[float, float]:
         """Heaviest first; where no other server has room, those of the least utility before that."""
