Errors of several servers for one session are held against none of them

In a log (n1, 15.5 to 17.1 s) seven lines with an id open elsewhere came in 1.6 s; six of them made a storm (`8 of the last 16 ... on 2 servers`), as each still counted once, and usual clients were refused.

Ruled out: the id check (the id is at the other balancer).

At fault: policy.give_up, the count for the fleet's watch. A store that is down makes set-ups late or unanswered, which count as before.

--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -416,10 +416,8 @@
 
     def give_up(self, index: int, sess: Session) -> None:
         if len(set(sess.erred)) == 1:
+            # Of several none is blamed: guards against a line that no server can use, taken for their fault.
             self.blame(sess)
-        elif sess.erred:
-            # Guards against a line that no server can use, taken for the fault of all that were dialled.
-            self.watch_fleet(sess.erred[0], False, False)
         listener = self.site.listeners[sess.listener]
         harmless = (
             sess.may_have_run is None
