--- a/thymedeck/net/servers.py
+++ b/thymedeck/net/servers.py
@@ -19,13 +19,14 @@
 class Known:
     """A server by its index at the decisions' door."""
 
-    __slots__ = ("address", "beat", "delays", "slow", "standing")
+    __slots__ = ("address", "beat", "delays", "slow", "standing", "stopped")
 
     def __init__(self, address: tuple[str, int]) -> None:
         self.address = address
         self.beat = Beat()
         self.delays: deque[int] = deque(maxlen=SAMPLES)
         self.slow = False  # its messages were told to be slow
+        self.stopped = False  # lines wait there and none has been answered since
         self.standing: set[Client] = set()
 
 
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -29,6 +29,7 @@
 DRAIN_WITHIN = SECOND  # within which the sessions of a server that drains are moved
 LOOK_EVERY = SECOND // 2  # at the standing sessions of each server
 SILENT = 3 * SECOND  # a line that nothing has come back for so long tells of a connection that is dead
+SILENT_TOGETHER = SECOND  # the same where its server has answered nobody lately
 STOPPED = 3  # lines without an answer at a server that has answered none lately: it has stopped, not they
 STILL_ACCEPTING = 5_000  # after the signal to stop, as the front notices late
 LONGEST_STOP = 3 * SECOND
@@ -75,7 +76,7 @@
 class Service:
     def __init__(self, start: Start) -> None:
         told = start.told
-        env = told.settings
+        env = self.settings = told.settings
         self.log = EventLog(told.name)
         self.path = start.path
         self.loop = Loop(self.log.fault, descriptors(told))
@@ -309,18 +310,19 @@
             late = [c for c in server.standing if c.asked_at >= 0]
             delays = sorted([*server.delays, *(now - c.asked_at for c in late)])
             server.delays.clear()
-            stopped = len(late) == len(delays) >= STOPPED
+            answers = len(late) < len(delays)
             # Guards against a server blamed for one dead connection, and against one that has stopped being
             # taken for a slow one by the latest lines.
-            if stopped or len(late) < len(delays):
-                delay = delays[-1] if stopped else delays[len(delays) // 2]
+            server.stopped = not answers and (server.stopped or len(late) >= STOPPED)
+            if answers or (server.stopped and late):
+                delay = delays[-1] if server.stopped else delays[len(delays) // 2]
                 slow = 3 * delay > self.balancer.shortest_aim
                 if slow or server.slow:
                     client = next(iter(late or server.standing), None)
                     self.tell(own.DelayTold(-1 if client is None else client.sess, index, delay))
                 server.slow = slow
             for client in late:
-                if now - client.asked_at >= SILENT:
+                if now - client.asked_at >= (SILENT_TOGETHER if server.stopped else SILENT):
                     self.log("silent", sess=client.sess, server=index)
                     client.move()
 
@@ -390,6 +392,8 @@
             self.log("not_reloaded", why=str(why))
             return
         self.loop.limit(descriptors(told))
+        if told.settings != self.settings:
+            self.log("settings_kept")
         self.log("reloaded", discovery="{}:{}".format(*discovery))
         self.follower.turn_to(discovery)
 
