Read-through: one way to hold a session, to follow the list; a dead line and a copied call gone

service.hold stands beside let_go for the two places that took a session in; Follower.turn_to uses follow; a client's close cancels its timer, so close_both need not; Figures starts at 0, as nothing is compared before a figure was there; the test's start writes and reads one text.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -349,11 +349,12 @@
         return json.dumps(told)
 
     def on_start(self) -> None:
-        self.file.write_text(self.told())
+        text = self.told()
+        self.file.write_text(text)
         command = [sys.executable, "-m", "thymedeck", "serve", "--config", str(self.file)]
         limit = (self.descriptors, self.descriptors)
         few = partial(resource.setrlimit, resource.RLIMIT_NOFILE, limit) if self.descriptors else None
-        env = os.environ | {"LB_DISCOVERY": json.loads(self.told())["discovery"]}
+        env = os.environ | {"LB_DISCOVERY": json.loads(text)["discovery"]}
         self.program = subprocess.Popen(command, stdout=subprocess.PIPE, preexec_fn=few, env=env)
         self.address = self.on_log('*"event":"started"*')["listen"].split(":")
         probe = Peer(self.connect())
--- a/thymedeck/net/clients.py
+++ b/thymedeck/net/clients.py
@@ -239,7 +239,6 @@
 
     def close_both(self, reset: bool = False) -> None:
         self.done = True
-        self.due.cancel()
         if self.dial is not None:
             self.dial.close()
         self.close(reset)
--- a/thymedeck/net/notes.py
+++ b/thymedeck/net/notes.py
@@ -16,7 +16,7 @@
     __slots__ = ("at", "before", "load")
 
     def __init__(self) -> None:
-        self.at = -BEAT - KEPT_WITHIN - 1
+        self.at = 0
         self.load: float | None = None
         self.before: float | None = None  # the load before that one
 
--- a/thymedeck/net/serverlist.py
+++ b/thymedeck/net/serverlist.py
@@ -121,8 +121,8 @@
         self.close()
         self.address = address
         self.version = -1
-        self.following = True
-        self.ask(0)
+        self.following = False
+        self.follow()
 
     def ask(self, wait: int) -> None:
         target = PATH
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -159,6 +159,10 @@
 
     # Sessions
 
+    def hold(self, client: Client) -> None:
+        self.clients[client.sess] = client
+        self.idents.add(client.words[1])
+
     def let_go(self, sess: int) -> Client | None:
         client = self.clients.pop(sess, None)
         if client is not None:
@@ -202,15 +206,13 @@
             if server is None:
                 client.answer(b"ERR no such server\r\n", Ending.ANSWERED)
                 return
-            self.clients[sess] = client
-            self.idents.add(ident)
+            self.hold(client)
             client.fixed = server
             client.fixed_until = self.loop.now() + FIXED_WITHIN
             self.tell(own.SessionStands(sess, listener, hint, subject, server))
             self.dial_fixed(client)
             return
-        self.clients[sess] = client
-        self.idents.add(ident)
+        self.hold(client)
         client.await_answer(wait * 10)
         self.tell(own.SessionCame(sess, listener, wait * 10, hint, subject, figures.get(b"mid_flow") == b"1"))
 
