Cold servers: the fleet's budget is used up, judged by what the members' shares promise

Logged for each pick: at a fleet budget of 14 dials a second a cold server got 6 to 10, at one of 6 got 1 to 5. Lines at fault: cold_room divided the chance by a guess of the dials to come (`due`, `part`), most of which never asked this server; pick passed over all cold servers that tied once the first drawn had no room; start burdened a server that the budget guards already; and warm_sum took what warm servers happen to hold for what a server can hold. Change: the chance is drawn once a window; each tied cold server is asked; a cold newcomer bears no other sum; the members' shares that the settings state bound what a server can hold from below.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -40,7 +40,7 @@
     listeners=(LISTENER,), zone=0, replicas=3, tick=20, connect_timeout=1500, max_dials=4, may_probe=False,
     come_back_max=0, list_on_request=False, ask_within=100000, cold_share=0.3, warm_after=88000,
     fall_multiple=2.5, fall_window=20000, present_load=True, tells_delay=True, passes_through=False,
-    crossing_price=0.0,
+    crossing_price=0.0, promised=0.0,
 )  # fmt: skip
 SHOWN = (own.Dial, own.Refuse, own.TearDown, own.Move, own.FollowList, own.Probe)
 
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,53 @@
+"""What many balancers do together that share nothing: counted over whole fleets of the decision module."""
+
+from dataclasses import replace
+
+import pytest
+
+from tests.helpers import SITE
+from thymedeck import interface as own
+from thymedeck.policy import Balancer
+
+REPLICAS = 400
+HELD = 2
+WARM, COLD = 0, 1
+LISTED = 1_000_000
+WINDOW = SITE.fall_window
+
+
+class One:
+    """One balancer with two sessions on a warm server, told of a cold one that has just started."""
+
+    def __init__(self, seed: int) -> None:
+        self.balancer = Balancer(seed, replace(SITE, replicas=REPLICAS))
+        self.next = 0
+        self.balancer.handle(0, own.ServerList(own.ListKind.SAVED, [entry(WARM, 0)]))
+        for _ in range(HELD):
+            self.session(1, stays=True)
+        self.balancer.handle(LISTED, own.ServerList(own.ListKind.CHANGES, [entry(COLD, LISTED)]))
+
+    def session(self, now: int, stays: bool = False) -> int:
+        """Where a session that comes now is placed."""
+        sess, self.next = self.next, self.next + 1
+        out = self.balancer.handle(now, own.SessionCame(sess, 0, 12000, None, None, False))
+        (dial,) = [action for action in out if isinstance(action, own.Dial)]
+        self.balancer.handle(now, own.Established(sess, dial.server, 100))
+        if not stays:
+            self.balancer.handle(now, own.DialEnded(sess, dial.server, own.Outcome.ENDED, True, None))
+        return dial.server
+
+
+def entry(server: int, started: int) -> own.Entry:
+    return own.Entry(server, 0, 0, own.State.READY, started)
+
+
+@pytest.mark.parametrize("dials", [4, 40])
+def test_cold_budget_of_a_fleet_is_used_and_kept_however_many_dials_come(dials: int) -> None:
+    """Guards against a budget that holds only if the number of dials to come is guessed well."""
+    fleet = [One(seed) for seed in range(REPLICAS)]
+    for window in range(3):
+        times = [LISTED + (window * dials + at) * WINDOW // dials for at in range(dials)]
+        granted = sum(one.session(now) == COLD for now in times for one in fleet)
+        able = [SITE.cold_share + (1 - SITE.cold_share) * (now - LISTED) / SITE.warm_after for now in times]
+        budget = SITE.fall_multiple * max(able) * HELD * WINDOW / SITE.warm_after * REPLICAS
+        assert 0.6 * budget < granted < 1.1 * budget, (window, granted, budget)
--- a/thymedeck/interface.py
+++ b/thymedeck/interface.py
@@ -88,6 +88,7 @@
     tells_delay: bool  # how long messages take is told
     passes_through: bool
     crossing_price: float
+    promised: float  # connections that the fleet is to carry, the members' shares together; 0: not stated
 
 
 @dataclass(slots=True)
--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -45,7 +45,7 @@
 LOG_PAUSE = 10 * SECOND  # a mode that has rested this long is logged again when it returns
 HISTORY = 100  # connections whose mean stands in for a load not yet told (design page)
 FADE = 30 * SECOND  # a newcomer's head start of load is gone after this (design page)
-RECENT = 8  # set-ups remembered of each server, and arrivals of the balancer
+RECENT = 8  # set-ups remembered of each server
 TRIAL_WAIT = SECOND  # a sick server gets its first single trial after about this
 NOTE_LIFE = 25_000  # notes on slow messages come every second; two missed ones make a third unlikely
 REPORT_LIFE = 5 * SECOND  # no report older than this is trusted
@@ -73,9 +73,9 @@
 
     __slots__ = (
         "asked_at", "asking", "cell", "crowded", "delay", "dials_out", "full_until", "handicap",
-        "handicap_at", "index", "lacking", "most", "over", "pressure", "recent", "relieved_at", "sent",
-        "sick", "silent_until", "slow_until", "standing", "started", "state", "told", "told_at_report",
-        "told_until", "trial_at", "trials", "waits", "weight", "zone",
+        "handicap_at", "index", "lacking", "luck", "luck_until", "most", "over", "pressure", "recent",
+        "relieved_at", "sent", "sick", "silent_until", "slow_until", "standing", "started", "state",
+        "told", "told_at_report", "told_until", "trial_at", "trials", "waits", "weight", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Entry) -> None:
@@ -100,6 +100,8 @@
         self.started = entry.started
 
     def forget(self) -> None:
+        self.luck = 1.0  # while cold: under its room, in mean loads, it takes a dial of this window
+        self.luck_until = 0
         self.recent: deque[bool] = deque(maxlen=RECENT)  # set-ups: accepted or not
         self.sick = False
         self.trial_at = 0
@@ -162,6 +164,7 @@
         self.out: list[Action] = []
         self.servers: dict[int, Server] = {}
         self.ready: list[Server] = []
+        self.most_listed = 0  # servers on the list at once
         self.sessions: dict[int, Session] = {}
         self.figures: deque[float] = deque(maxlen=HISTORY)  # loads of recent connections, on the one scale
         self.mean = 1.0  # of these
@@ -171,7 +174,6 @@
         self.quickest: dict[int, int] = {}  # set-up by zone
         self.waits: deque[int] = deque(maxlen=HISTORY)  # what set-ups took beyond these
         self.set_ups: deque[tuple[Server, bool]] = deque(maxlen=FLEET_RECENT)
-        self.came: deque[int] = deque((0,), maxlen=RECENT)  # when dials were due lately
         self.setting_up = 0  # dials out
         self.storm = False  # set-ups fail all over the fleet
         self.room = 1  # dials that may be out in a storm
@@ -226,6 +228,8 @@
             changed = True
         if changed:
             self.ready = [s for s in self.servers.values() if s.state is State.READY]
+            listed = sum(s.state is not State.GONE for s in self.servers.values())
+            self.most_listed = max(self.most_listed, listed)
 
     def take_entry(self, entry: Entry) -> bool:
         """Whether more than the weight is new."""
@@ -240,17 +244,19 @@
         if entry.started > server.started:
             # Guards against a restarted server that draws a rush because its sum was emptied.
             server.forget()
+            server.list_as(entry)
             self.start(server)
         server.list_as(entry)
         return True
 
     def start(self, server: Server) -> None:
-        """Burdens a newcomer with the sum of one of the others by chance.
+        """Burdens a newcomer with the sum of one of the others by chance, unless the cold budget guards it.
 
         Their mean in the mean; but where most sums are zero a newcomer that started at the mean itself
-        would come after nearly all until it has faded.
+        would come after nearly all until it has faded. Both guards at once leave a cold server empty while
+        all balancers crowd the warm ones.
         """
-        if self.ready:
+        if self.ready and not self.is_cold(server):
             self.burden(server, self.own_sum(self.choice(self.ready)))
 
     # The sums
@@ -314,7 +320,6 @@
         if not self.site.present_load and event.hint is not None:
             load = event.hint
             self.learn_load(load)
-        self.came.append(self.now)
         sess = Session(event.listener, self.now + event.budget, load, event.subject)
         self.sessions[event.sess] = sess
         if event.mid_flow and event.subject is not None:
@@ -504,7 +509,6 @@
         if outcome not in NEVER_RAN and sess.may_have_run is None:
             sess.may_have_run = server
             sess.ran_at = sess.dialled_at
-        self.came.append(self.now)
         self.place(event.sess, sess)
 
     # The pick
@@ -518,23 +522,21 @@
         # Guards against an overload in which a balancer with few sessions keeps filling servers of which
         # it hears nothing, as their sums are zero: by chance they are taken to be like those heard of.
         self.wary = not self.site.may_probe and self.uniform(0, 1) < self.full_share
-        passed: set[int] = set()  # cold servers without room, and those tied with them
+        passed: set[int] = set()  # cold servers without room
         warm_sum = -1.0
         while best := self.least(sess, ahead, passed):
-            asked = sess.asked_last in best  # its report was waited for
-            server = sess.asked_last if asked else self.draw(best)
-            if not self.is_cold(server):
-                return server
-            if warm_sum < 0:
-                warm = [s for s in self.ready if not self.is_cold(s)] or self.ready
-                warm_sum = max(self.mean_sum(warm), self.mean / self.site.replicas)
-            part = 0.0 if asked else server.weight / sum(s.weight for s in best)
-            if self.cold_room(server, ahead, warm_sum, part):
-                return server
-            beside = [s for s in best if not self.is_cold(s)]
-            if beside:
-                return self.draw(beside)
-            passed.update(s.index for s in best)
+            while best:
+                asked = sess.asked_last in best  # its report was waited for
+                server = sess.asked_last if asked else self.draw(best)
+                if not self.is_cold(server):
+                    return server
+                if warm_sum < 0:
+                    warm = [s for s in self.ready if not self.is_cold(s)] or self.ready
+                    warm_sum = max(self.mean_sum(warm), self.fair_sum())
+                if self.cold_room(server, ahead, warm_sum, asked):
+                    return server
+                passed.add(server.index)  # the others that tie are asked on: each has a budget of its own
+                best.remove(server)
         return None
 
     def draw(self, ties: list[Server]) -> Server:
@@ -597,11 +599,20 @@
     def is_cold(self, server: Server) -> bool:
         return server.started > 0 and self.now - server.started < self.site.warm_after
 
-    def cold_room(self, server: Server, load: float, warm_sum: float, part: float) -> bool:
+    def fair_sum(self) -> float:
+        """This balancer's part of what a server is to carry, as far as the deployment states it.
+
+        Guards against cold servers held to what the warm ones happen to carry, far under what they could.
+        """
+        site = self.site
+        return max(site.promised / max(self.most_listed, 1), 1) * self.mean / site.replicas
+
+    def cold_room(self, server: Server, load: float, warm_sum: float, asked: bool) -> bool:
         """Whether this balancer's part of the cold server's budget has room for this load.
 
         One dial from each of many balancers would push the server over. So less room than the dial is granted
-        by chance: the one at which the own dials of a window, of which this part is drawn for it, fill it.
+        by chance, drawn once for a window: however many dials ask in it, all balancers together come to their
+        budget, with no guess of how many will ask.
         """
         site = self.site
         sent = server.sent
@@ -613,9 +624,10 @@
         room = budget - sum(load for _, load in sent)
         if room >= load:
             return True
-        span = self.now - self.came[0]
-        due = max(len(self.came) * site.fall_window / span if span else len(self.came), 1)
-        return room > 0 and self.uniform(0, 1) * load * due * part < room
+        if self.now >= server.luck_until:
+            server.luck = self.uniform(0, 1)
+            server.luck_until = self.now + site.fall_window
+        return room > 0 and (asked or server.luck * self.mean < room)
 
     # Health
 
--- a/thymedeck/stated.py
+++ b/thymedeck/stated.py
@@ -32,6 +32,7 @@
     mode: str = "proxy"
     tells_load: bool = False
     tells_delay: bool = True
+    tenant_quota_connections: list[float] = []
 
 
 class Limits(Struct):
@@ -115,4 +116,5 @@
         tells_delay=env.extra.tells_delay,
         passes_through=env.extra.mode == "pass",
         crossing_price=env.prices.cross_zone,
+        promised=sum(env.extra.tenant_quota_connections),
     )
--- a/tools/fleetcount.py
+++ b/tools/fleetcount.py
@@ -2,8 +2,9 @@
 
     python tools/fleetcount.py FOLDER [--step SECONDS]
 
-FOLDER holds one log a balancer (`*.log`, one JSON line an event, whatever stands before it). The first table has a row for each step, the
-second the sessions that stand on each server at its end, the third the mode lines without their figures.
+FOLDER holds a log for each balancer (`*.log`, one JSON line an event, whatever stands before it). The first
+table has a row for each step, the second the sessions that stand on each server at its end; then come the
+mode lines without their figures.
 """
 
 import argparse
