Moves off a slow server: as much as lets it work off its pile within a second

Checked: who still places there (few: most placements are by balancers that were never told), so it is not the inflow. At fault: relieve was given a share that begins at a tenth whatever the delay. A message's time is the work piled up before it: 0.3 s need three tenths of a second's work to go elsewhere. The share is now at least the delay in seconds, up to the half it was before.

--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -803,7 +803,7 @@
         # must go too, and a hung server is left soon.
         server.over += 1
         hung = delay > self.hung_delay
-        share = MOST_MOVED if hung else min(SHARE_STEP * (1 + server.over), MOST_MOVED)
+        share = MOST_MOVED if hung else min(max(SHARE_STEP * (1 + server.over), delay / SECOND), MOST_MOVED)
         self.relieve(server, share, SECOND // 2)
 
     def relieve(self, server: Server, share: float, pause: int) -> None:
