Piles are moved off up to the whole sum; draining servers are left out of step

The first session of a draining server left at every balancer at offset 0 (test: 40 of 40 in the first quarter). Lines at fault: take_delay's cap at half, with a case of its own for hung servers; move_within without a phase. Change: the share is the delay in seconds up to all of the sum (the case for hung servers is covered and gone); each session leaves at random within its part of the second.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,11 +1,14 @@
 """What many balancers do together that share nothing: counted over whole fleets of the decision module."""
 
+import random
+from collections.abc import Callable
 from dataclasses import replace
 
 import pytest
 
 from tests.helpers import SITE
 from thymedeck import interface as own
+from thymedeck.net.service import Service
 from thymedeck.policy import Balancer
 
 REPLICAS = 400
@@ -51,3 +54,32 @@
         able = [SITE.cold_share + (1 - SITE.cold_share) * (now - LISTED) / SITE.warm_after for now in times]
         budget = SITE.fall_multiple * max(able) * HELD * WINDOW / SITE.warm_after * REPLICAS
         assert 0.6 * budget < granted < 1.1 * budget, (window, granted, budget)
+
+
+class Clock:
+    """Notes when calls are due instead of making them."""
+
+    def __init__(self) -> None:
+        self.waits: list[int] = []
+
+    def after(self, wait: int, call: Callable[[], None]) -> None:
+        self.waits.append(wait)
+
+
+class Standing:
+    def move(self) -> None:
+        pass
+
+
+def test_balancers_move_the_sessions_of_a_draining_server_out_of_step() -> None:
+    """Guards against the first session of every balancer leaving at the instant all are told."""
+    first = []
+    for seed in range(40):
+        service = object.__new__(Service)
+        service.loop, service.uniform = Clock(), random.Random(seed).uniform
+        service.move_within(10_000, [Standing(), Standing()])
+        early, late = service.loop.waits
+        assert 0 <= early <= 5_000 <= late <= 10_000
+        first.append(early)
+    quarters = [sum(at // 1_250 == quarter for at in first) for quarter in range(4)]
+    assert min(quarters) >= 4, quarters
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -1,6 +1,7 @@
 """One balancer on sockets: turns what happens to connections into events, and actions into what they do."""
 
 import contextlib
+import random
 import resource
 import signal
 import socket
@@ -83,6 +84,7 @@
         # The protocol has no probes; connections end here.
         self.site = replace(deployment(env), may_probe=False, passes_through=False)
         self.balancer = Balancer(start.seed, self.site)
+        self.uniform = random.Random(start.seed).uniform
         self.listeners = {one.name.encode(): at for at, one in enumerate(env.listeners)}
         self.zones = {name: at for at, name in enumerate(env.zones)}
         self.since_unix = self.loop.now() - time.time_ns() // 100_000
@@ -371,9 +373,9 @@
         self.move_within(DRAIN_WITHIN, standing)
 
     def move_within(self, span: int, standing: list[Client]) -> None:
-        """Spread evenly, so that they do not all come again at once."""
+        """Spread evenly, and out of step with other balancers, so that they do not all come again at once."""
         for at, client in enumerate(standing):
-            self.loop.after(span * at // len(standing), client.move)
+            self.loop.after(int(span * (at + self.uniform(0, 1)) / len(standing)), client.move)
 
     def list_failed(self, why: str) -> None:
         self.log("list_failed", why=why)
--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -60,7 +60,7 @@
 RELIEF_FROM = 0.9  # reported load from which sessions are moved off: past 1 before the next report
 RELIEF_TO = 0.7  # and down to which, a little under the cap so that it is not back at once
 SHARE_STEP = 0.05  # of the own sum, what each further note of slow messages adds to what is moved
-MOST_MOVED = 0.5  # of the own sum at a time: the next note may tell that it was enough
+MOST_MOVED = 0.5  # of the own sum that these steps come to: the next note may tell that it was enough
 LOOK_EVERY = SECOND  # full servers are counted again after this; notes come as often
 RELIEF_PAUSE = 3 * SECOND  # until a report shows what the last moves brought
 LIST_PART = 0.005  # of the time within which the list is to be asked, left to each balancer's call
@@ -150,7 +150,6 @@
         self.shortest_aim = min(listener.message_aim for listener in deployment.listeners)
         # A set-up that takes half the shortest handshake target is late: what it needs is filling up.
         self.late_after = min(listener.handshake_target for listener in deployment.listeners) // 2
-        self.hung_delay = min(listener.dial_timeout for listener in deployment.listeners)
         # Guards against balancers that ask together and queue up at a list that does not grow with them.
         self.list_spread = min(LIST_PART * deployment.replicas, 0.8) * deployment.ask_within
         # Guards against what many balancers try again one by one: together they must let it recover.
@@ -799,11 +798,11 @@
         if delay <= self.shortest_aim:
             server.over = 0
             return
-        # The share grows with each further note past the aim: a heavy session that fits no small share
-        # must go too, and a hung server is left soon.
+        # A message waits for the work piled up before it: what was sent in that time has to go elsewhere for
+        # the pile to be worked off in a second. The share also grows with each further note past the aim: a
+        # heavy session that fits no small share must go too.
         server.over += 1
-        hung = delay > self.hung_delay
-        share = MOST_MOVED if hung else min(max(SHARE_STEP * (1 + server.over), delay / SECOND), MOST_MOVED)
+        share = max(min(SHARE_STEP * (1 + server.over), MOST_MOVED), min(delay / SECOND, 1))
         self.relieve(server, share, SECOND // 2)
 
     def relieve(self, server: Server, share: float, pause: int) -> None:
