--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -27,11 +27,12 @@
 import tempfile
 import threading
 import time
-from dataclasses import replace
 from fnmatch import fnmatchcase as fnmatch
 from functools import partial
 from pathlib import Path
 
+from msgspec.structs import replace
+
 from thymedeck import interface as own
 from thymedeck.policy import Balancer
 
@@ -145,7 +146,7 @@
     def spell(action: own.Action) -> list[str]:
         name = {"Dial": "dial", "Refuse": "refuse", "TearDown": "teardown", "Move": "move"}
         kind = type(action).__name__
-        numbers = [getattr(action, slot) for slot in action.__slots__]
+        numbers = [getattr(action, slot) for slot in action.__struct_fields__]
         return [name.get(kind, kind.lower()), *map(str, numbers)]
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,9 +2,9 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import replace
 
 import pytest
+from msgspec.structs import replace
 
 from tests.helpers import SITE
 from thymedeck import interface as own
--- a/thymedeck/interface.py
+++ b/thymedeck/interface.py
@@ -4,9 +4,10 @@
 caller hands out; loads are millionths of a standard core. Nothing here belongs to any protocol.
 """
 
-from dataclasses import dataclass
 from enum import IntEnum
 
+from msgspec import Struct
+
 
 class Effect(IntEnum):
     REPEATABLE = 0
@@ -55,8 +56,7 @@
     ASK = 1
 
 
-@dataclass(slots=True, frozen=True)
-class Listener:
+class Listener(Struct, frozen=True):
     handshake_target: int
     dial_timeout: int
     effect: Effect
@@ -66,8 +66,7 @@
     message_aim: int
 
 
-@dataclass(slots=True, frozen=True)
-class Deployment:
+class Deployment(Struct, frozen=True):
     """What the deployment states when a balancer starts; only what the decisions read."""
 
     listeners: tuple[Listener, ...]
@@ -91,8 +90,7 @@
     promised: float  # connections that the fleet is to carry, the members' shares together; 0: not stated
 
 
-@dataclass(slots=True)
-class Entry:
+class Entry(Struct):
     server: int
     zone: int
     cell: int
@@ -104,14 +102,12 @@
 # Events
 
 
-@dataclass(slots=True)
-class ServerList:
+class ServerList(Struct):
     kind: ListKind
     entries: list[Entry]
 
 
-@dataclass(slots=True)
-class SessionCame:
+class SessionCame(Struct):
     sess: int
     listener: int
     budget: int
@@ -120,8 +116,7 @@
     mid_flow: bool
 
 
-@dataclass(slots=True)
-class SessionStands:
+class SessionStands(Struct):
     """A session that already stood on a server when this balancer started."""
 
     sess: int
@@ -131,20 +126,17 @@
     server: int
 
 
-@dataclass(slots=True)
-class SessionLeft:
+class SessionLeft(Struct):
     sess: int
 
 
-@dataclass(slots=True)
-class Established:
+class Established(Struct):
     sess: int
     server: int
     took: int
 
 
-@dataclass(slots=True)
-class DialEnded:
+class DialEnded(Struct):
     sess: int
     server: int
     outcome: Outcome
@@ -152,14 +144,12 @@
     pressure: float | None
 
 
-@dataclass(slots=True)
-class LoadTold:
+class LoadTold(Struct):
     sess: int
     load: float
 
 
-@dataclass(slots=True)
-class DelayTold:
+class DelayTold(Struct):
     """How long a message takes at this server now."""
 
     sess: int
@@ -167,15 +157,13 @@
     delay: int
 
 
-@dataclass(slots=True)
-class Probed:
+class Probed(Struct):
     server: int
     answered: bool
     pressure: float | None
 
 
-@dataclass(slots=True)
-class TimerDue:
+class TimerDue(Struct):
     timer: Timer
     index: int
 
@@ -189,48 +177,40 @@
 # Actions
 
 
-@dataclass(slots=True)
-class Dial:
+class Dial(Struct):
     sess: int
     server: int
     limit: int
 
 
-@dataclass(slots=True)
-class Refuse:
+class Refuse(Struct):
     sess: int
     come_back: int
 
 
-@dataclass(slots=True)
-class TearDown:
+class TearDown(Struct):
     sess: int
 
 
-@dataclass(slots=True)
-class Move:
+class Move(Struct):
     sess: int
 
 
-@dataclass(slots=True)
-class Probe:
+class Probe(Struct):
     server: int
 
 
-@dataclass(slots=True)
-class FollowList:
+class FollowList(Struct):
     pass
 
 
-@dataclass(slots=True)
-class SetTimer:
+class SetTimer(Struct):
     timer: Timer
     index: int
     after: int
 
 
-@dataclass(slots=True)
-class Log:
+class Log(Struct):
     text: str
 
 
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -7,7 +7,8 @@
 import socket
 import time
 from collections import deque
-from dataclasses import replace
+
+from msgspec.structs import replace
 
 from .. import interface as own
 from ..policy import Balancer
@@ -45,10 +46,12 @@
     def __init__(self) -> None:
         self.heard: set[int] = set()
         self.service: Service | None = None
-        self.sock, self.far = socket.socketpair()
-        for one in (self.sock, self.far):
-            one.setblocking(False)
-        signal.set_wakeup_fd(self.far.fileno(), warn_on_full_buffer=False)
+        # UDP to itself, as there are platforms that refuse Unix sockets.
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.connect(self.sock.getsockname())
+        self.sock.setblocking(False)
+        signal.set_wakeup_fd(self.sock.fileno(), warn_on_full_buffer=False)
         for which in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(which, lambda number, _: self.heard.add(number))
 
--- a/thymedeck/net/told.py
+++ b/thymedeck/net/told.py
@@ -3,7 +3,6 @@
 import contextlib
 import os
 from collections.abc import Iterator
-from dataclasses import dataclass
 from pathlib import Path
 
 import msgspec
@@ -47,8 +46,7 @@
     limits: Limits = msgspec.field(default_factory=Limits)
 
 
-@dataclass(frozen=True)
-class Start:
+class Start(msgspec.Struct, frozen=True):
     path: str
     told: Told
     listen: tuple[str, int]
