A server that sends a client away is passed over until the list can have told that it drains

Seen in herd+vast-2: balancers that restarted at 14.7 s hear of the list at 16.3 to 20.4 s, as discovery works through their calls in turn; till then they dial servers that drain, which take the session and send it away: 28 of 150 in 4 s. At fault: endings.py told MOVE by a server as a session of no consequence. It is an outcome of its own now; the server ranks with the full ones for the time within which the list is to be asked.

--- a/thymedeck/interface.py
+++ b/thymedeck/interface.py
@@ -39,6 +39,7 @@
     CANCELLED = 6
     UNSENT = 7  # the dial never left
     UNKNOWN = 8
+    SENT_AWAY = 9  # the server asked the client to move, as it drains
 
 
 NEVER_RAN = frozenset((Outcome.FULL, Outcome.UNREACHABLE, Outcome.UNSENT))
--- a/thymedeck/net/endings.py
+++ b/thymedeck/net/endings.py
@@ -39,7 +39,7 @@
     Ending.TURNED_AWAY: Outcome.FULL,
     Ending.ERRED: Outcome.ERROR,
     Ending.SERVED: Outcome.ENDED,
-    Ending.SENT_AWAY: Outcome.CANCELLED,
+    Ending.SENT_AWAY: Outcome.SENT_AWAY,
     Ending.SERVER_ENDED: Outcome.RESET,
     Ending.SERVER_BROKE: Outcome.RESET,
     Ending.MOVED: Outcome.CANCELLED,
--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -483,9 +483,12 @@
         outcome = event.outcome
         lost = self.load_of(sess)
         self.leave(sess)
+        if outcome is Outcome.SENT_AWAY:
+            # Guards against dials to a server that drains, until the list has had the time to say so.
+            server.full_until = self.now + self.site.ask_within
         if sess.standing:
             server.standing.pop(event.sess, None)
-            if outcome not in (Outcome.ENDED, Outcome.CANCELLED):
+            if outcome not in (Outcome.ENDED, Outcome.CANCELLED, Outcome.SENT_AWAY):
                 # Guards against a server that resets its connections and so empties its sum.
                 self.burden(server, lost)
             if self.site.passes_through and sess.subject is not None:
@@ -499,7 +502,7 @@
                 server.full_until = self.now + int(self.uniform(self.try_wait / 2, self.try_wait))
             elif outcome is Outcome.ERROR:
                 sess.erred.append(server)
-            elif outcome not in (Outcome.CANCELLED, Outcome.UNSENT):
+            elif outcome not in (Outcome.CANCELLED, Outcome.SENT_AWAY, Outcome.UNSENT):
                 self.burden(server, lost)
                 self.set_up_went(server, False, outcome is Outcome.UNREACHABLE)
         if event.complete or sess.standing or sess.finished:
