A cold server's budget goes by what warm servers of its kind carry

Seen: both zone+vast and join+vast hold 46 to 60 sessions on the kind full-node and 15 to 43 on half-node before any trouble; cold ones of either were given the same. The contract has a cold server judged by warm ones of like size, and the list tells the kind (simulator and sockets), which was read nowhere. At fault: pick's one warm_sum for all.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,7 +2,7 @@
 
     set KEY=VALUE ...        before the first event: changes the deployment (listener keys apply to all)
     T list KIND S:STATE ...  the list of servers; more after a further colon: z1 zone, c2 cell, b50 started,
-                             w9 weight
+                             w9 weight, k1 kind of machine
     T EVENT ...              came N [budget=] [hint=], stands N on S, up N [TOOK], load N X,
                              ended N OUTCOME [done], delay N MS, probed S X, left N
     expect ACTION ...        this alone came out of the last event (timers and logs left out)
@@ -125,7 +125,8 @@
         index, state, *more = word.split(":")
         marks = {mark[0]: int(mark[1:]) for mark in more}
         zone, cell, started = marks.get("z", 0), marks.get("c", 0), marks.get("b", 0)
-        return own.Entry(int(index), zone, cell, own.State[state.upper()], started, marks.get("w", 1))
+        weight, kind = marks.get("w", 1), marks.get("k", -1)
+        return own.Entry(int(index), zone, cell, own.State[state.upper()], started, weight, kind)
 
     def expect(self, words: list[str]) -> None:
         shown = [self.spell(action) for action in self.out if isinstance(action, SHOWN)]
--- a/thymedeck/benchlink.py
+++ b/thymedeck/benchlink.py
@@ -160,6 +160,7 @@
             own.Entry(
                 index(one.server), one.region_part, one.group, states.get(one.readiness, other),
                 one.boot_time_us // 100, one.share if one.share > LEAST_WEIGHT else LEAST_WEIGHT,
+                one.generation_hw,
             )
             for one in event.members
         ]  # fmt: skip
--- a/thymedeck/interface.py
+++ b/thymedeck/interface.py
@@ -98,6 +98,7 @@
     state: State
     started: int
     weight: float = 1.0  # above 0, as the list gives it
+    kind: int = -1  # of machine; -1: not told
 
 
 # Events
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -90,6 +90,7 @@
         self.uniform = random.Random(start.seed).uniform
         self.listeners = {one.name.encode(): at for at, one in enumerate(env.listeners)}
         self.zones = {name: at for at, name in enumerate(env.zones)}
+        self.kinds = {name: at for at, name in enumerate(env.kinds)}
         self.since_unix = self.loop.now() - time.time_ns() // 100_000
         self.server_index: dict[str, int] = {}
         self.servers: list[Known] = []
@@ -359,7 +360,8 @@
             weight = max(row.weight, LEAST_WEIGHT)
             if state is not own.State.READY and kind is not own.ListKind.SAVED:
                 self.drains(index)
-            entries.append(own.Entry(index, self.zones.get(row.zone, -1), row.cell, state, started, weight))
+            zone, machine = self.zones.get(row.zone, -1), self.kinds.get(row.kind, -1)
+            entries.append(own.Entry(index, zone, row.cell, state, started, weight, machine))
             self.log("listed", kind=kind.name, server=index, id=row.id, state=row.state, started=started)
         if kind is own.ListKind.WHOLE:
             named = {entry.server for entry in entries}
--- a/thymedeck/net/told.py
+++ b/thymedeck/net/told.py
@@ -20,6 +20,7 @@
     id: str
     addr: str = ""
     zone: str = ""
+    kind: str = ""
     cell: int = 0
     state: str = "SERVING"
     weight: float = 1.0
--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -73,7 +73,7 @@
 
     __slots__ = (
         "asked_at", "asking", "cell", "crowded", "delay", "dials_out", "full_until", "handicap",
-        "handicap_at", "index", "lacking", "luck", "luck_until", "most", "over", "pressure", "recent",
+        "handicap_at", "index", "kind", "lacking", "luck", "luck_until", "most", "over", "pressure", "recent",
         "relieved_at", "sent", "sick", "silent_until", "slow_until", "standing", "started", "state",
         "told", "told_at_report", "told_until", "trial_at", "trials", "waits", "weight", "zone",
     )  # fmt: skip
@@ -96,6 +96,7 @@
         self.zone = entry.zone
         self.weight = entry.weight
         self.cell = entry.cell
+        self.kind = entry.kind
         self.state = entry.state
         self.started = entry.started
 
@@ -525,17 +526,16 @@
         # it hears nothing, as their sums are zero: by chance they are taken to be like those heard of.
         self.wary = not self.site.may_probe and self.uniform(0, 1) < self.full_share
         passed: set[int] = set()  # cold servers without room
-        warm_sum = -1.0
+        carried: dict[int, float] = {}  # by kind of machine
         while best := self.least(sess, ahead, passed):
             while best:
                 asked = sess.asked_last in best  # its report was waited for
                 server = sess.asked_last if asked else self.draw(best)
                 if not self.is_cold(server):
                     return server
-                if warm_sum < 0:
-                    warm = [s for s in self.ready if not self.is_cold(s)] or self.ready
-                    warm_sum = max(self.mean_sum(warm), self.fair_sum())
-                if self.cold_room(server, ahead, warm_sum, asked):
+                if server.kind not in carried:
+                    carried[server.kind] = self.sum_of_kind(server.kind)
+                if self.cold_room(server, ahead, carried[server.kind], asked):
                     return server
                 passed.add(server.index)  # the others that tie are asked on: each has a budget of its own
                 best.remove(server)
@@ -601,13 +601,20 @@
     def is_cold(self, server: Server) -> bool:
         return server.started > 0 and self.now - server.started < self.site.warm_after
 
-    def fair_sum(self) -> float:
-        """This balancer's part of what a server is to carry, as far as the deployment states it.
+    def sum_of_kind(self, kind: int) -> float:
+        """This balancer's part of what a warm server of this kind is known to be able to carry.
 
-        Guards against cold servers held to what the warm ones happen to carry, far under what they could.
+        It is what they hold, or where that is less, what the members' shares promise of each server: guards
+        against cold servers held to what the warm ones happen to carry, far under what they could.
         """
         site = self.site
-        return max(site.promised / max(self.most_listed, 1), 1) * self.mean / site.replicas
+        fair = max(site.promised / max(self.most_listed, 1), 1) * self.mean / site.replicas
+        warm = [s for s in self.ready if not self.is_cold(s)] or self.ready
+        mean = self.mean_sum(warm)
+        if not mean:
+            return fair
+        like = [s for s in warm if s.kind == kind] or warm
+        return max(self.mean_sum(like) * max(fair / mean, 1), self.mean / site.replicas)
 
     def cold_room(self, server: Server, load: float, warm_sum: float, asked: bool) -> bool:
         """Whether this balancer's part of the cold server's budget has room for this load.
--- a/thymedeck/stated.py
+++ b/thymedeck/stated.py
@@ -71,6 +71,7 @@
     zone: int = 0
     replicas_of_me: int = 1
     zones: list[str] = []
+    kinds: list[str] = []
 
 
 def down(us: float) -> int:
--- a/thymedeck/wire.py
+++ b/thymedeck/wire.py
@@ -11,6 +11,7 @@
 class Entry(Struct):
     server: int
     region_part: int = 0
+    generation_hw: int = -1
     group: int = 0
     readiness: str = "ready"
     share: float = 1.0
