While others are full a server is sent a tenth of its load until a note can tell

Seen in join+vast, notes by the second: 817 ms at second 10, 739 ms at 11, 1,052 ms at 12, each after it had got 24 to 39 sessions within the second before: 600 moves for 396 sessions in 10 s. Checked: who places there: balancers that were never told it is slow, as it was not yet. So nobody errs alone; what all send within a second goes unseen. Line at fault: pick bounds what cold servers are sent in a window and never what warm ones are. Change: by the chance that a server is full (drawn already for servers not heard of) the others have a budget too, a tenth, the least that is moved off at a time, of what the members' shares say that they are to carry; else BUSY.

--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -60,6 +60,8 @@
 RELIEF_FROM = 0.9  # reported load from which sessions are moved off: past 1 before the next report
 RELIEF_TO = 0.7  # and down to which, a little under the cap so that it is not back at once
 SHARE_STEP = 0.05  # of the own sum, what each further note of slow messages adds to what is moved
+BLIND = 2 * SHARE_STEP  # of what a server is to carry, what it may be sent before a note can tell of it
+BLIND_FOR = SECOND  # notes come as often
 MOST_MOVED = 0.5  # of the own sum that these steps come to: the next note may tell that it was enough
 LOOK_EVERY = SECOND  # full servers are counted again after this; notes come as often
 RELIEF_PAUSE = 3 * SECOND  # until a report shows what the last moves brought
@@ -452,7 +454,7 @@
         self.setting_up += 1
         if server.sick:
             server.trial_at = self.trial_time(server)
-        if self.is_cold(server):
+        if self.is_cold(server) or self.is_gated():
             server.sent.append((self.now, self.load_of(sess)))
         self.out.append(Dial(index, server.index, max(limit, 1)))
 
@@ -527,15 +529,19 @@
         self.wary = not self.site.may_probe and self.uniform(0, 1) < self.full_share
         passed: set[int] = set()  # cold servers without room
         carried: dict[int, float] = {}  # by kind of machine
+        gated = self.is_gated()
         while best := self.least(sess, ahead, passed):
             while best:
                 asked = sess.asked_last in best  # its report was waited for
                 server = sess.asked_last if asked else self.draw(best)
-                if not self.is_cold(server):
+                cold = self.is_cold(server)
+                if not (cold or gated):
                     return server
                 if server.kind not in carried:
                     carried[server.kind] = self.sum_of_kind(server.kind)
-                if self.cold_room(server, ahead, carried[server.kind], asked):
+                share = self.cold_part(server) if cold else BLIND
+                window = self.site.fall_window if cold else BLIND_FOR
+                if self.has_room(server, ahead, share * carried[server.kind], window, asked):
                     return server
                 passed.add(server.index)  # the others that tie are asked on: each has a budget of its own
                 best.remove(server)
@@ -616,26 +622,37 @@
         like = [s for s in warm if s.kind == kind] or warm
         return max(self.mean_sum(like) * max(fair / mean, 1), self.mean / site.replicas)
 
-    def cold_room(self, server: Server, load: float, warm_sum: float, asked: bool) -> bool:
-        """Whether this balancer's part of the cold server's budget has room for this load.
+    def is_gated(self) -> bool:
+        """By the chance that a server is full, what the others are sent until the next note is bounded.
+
+        Guards against all balancers crowding in turn whatever server is not yet known to be full. Only where
+        the deployment states what servers are to carry: a tenth of a sum of one or two would be nothing.
+        """
+        return self.wary and self.site.promised > 0
+
+    def cold_part(self, server: Server) -> float:
+        """What a cold server may be sent in a window, of what a warm one carries."""
+        site = self.site
+        age = max(self.now - server.started, 0)
+        able = site.cold_share + (1 - site.cold_share) * age / site.warm_after
+        return site.fall_multiple * able * site.fall_window / site.warm_after
+
+    def has_room(self, server: Server, load: float, budget: float, window: int, asked: bool) -> bool:
+        """Whether this balancer's part of what the server may be sent in a window has room for this load.
 
         One dial from each of many balancers would push the server over. So less room than the dial is granted
         by chance, drawn once for a window: however many dials ask in it, all balancers together come to their
         budget, with no guess of how many will ask.
         """
-        site = self.site
         sent = server.sent
-        while sent and sent[0][0] <= self.now - site.fall_window:
+        while sent and sent[0][0] <= self.now - window:
             sent.popleft()
-        age = max(self.now - server.started, 0)
-        able = site.cold_share + (1 - site.cold_share) * age / site.warm_after
-        budget = site.fall_multiple * able * warm_sum * site.fall_window / site.warm_after
         room = budget - sum(load for _, load in sent)
         if room >= load:
             return True
         if self.now >= server.luck_until:
             server.luck = self.uniform(0, 1)
-            server.luck_until = self.now + site.fall_window
+            server.luck_until = self.now + window
         return room > 0 and (asked or server.luck * self.mean < room)
 
     # Health
