A cold server that ties with many warm ones has its chance raised by as much

Fault, of: where most sums are zero a cold server is drawn for one dial in many, and the chance drawn once a window, right for one that is asked in every window, is then granted once in many windows. The chance goes up by the part of a window's dials that is likely to ask, one at most.

--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -45,7 +45,7 @@
 LOG_PAUSE = 10 * SECOND  # a mode that has rested this long is logged again when it returns
 HISTORY = 100  # connections whose mean stands in for a load not yet told (design page)
 FADE = 30 * SECOND  # a newcomer's head start of load is gone after this (design page)
-RECENT = 8  # set-ups remembered of each server
+RECENT = 8  # set-ups remembered of each server, and dials of the balancer
 TRIAL_WAIT = SECOND  # a sick server gets its first single trial after about this
 NOTE_LIFE = 25_000  # notes on slow messages come every second; two missed ones make a third unlikely
 REPORT_LIFE = 5 * SECOND  # no report older than this is trusted
@@ -176,6 +176,7 @@
         self.quickest: dict[int, int] = {}  # set-up by zone
         self.waits: deque[int] = deque(maxlen=HISTORY)  # what set-ups took beyond these
         self.set_ups: deque[tuple[Server, bool]] = deque(maxlen=FLEET_RECENT)
+        self.came: deque[int] = deque((0,), maxlen=RECENT)  # when dials were due lately
         self.setting_up = 0  # dials out
         self.storm = False  # set-ups fail all over the fleet
         self.room = 1  # dials that may be out in a storm
@@ -322,6 +323,7 @@
         if not self.site.present_load and event.hint is not None:
             load = event.hint
             self.learn_load(load)
+        self.came.append(self.now)
         sess = Session(event.listener, self.now + event.budget, load, event.subject)
         self.sessions[event.sess] = sess
         if event.mid_flow and event.subject is not None:
@@ -514,6 +516,7 @@
         if outcome not in NEVER_RAN and sess.may_have_run is None:
             sess.may_have_run = server
             sess.ran_at = sess.dialled_at
+        self.came.append(self.now)
         self.place(event.sess, sess)
 
     # The pick
@@ -531,6 +534,7 @@
         carried: dict[int, float] = {}  # by kind of machine
         gated = self.is_gated()
         while best := self.least(sess, ahead, passed):
+            warm = sum(s.weight for s in best if not self.is_cold(s))
             while best:
                 asked = sess.asked_last in best  # its report was waited for
                 server = sess.asked_last if asked else self.draw(best)
@@ -541,7 +545,9 @@
                     carried[server.kind] = self.sum_of_kind(server.kind)
                 share = self.cold_part(server) if cold else BLIND
                 window = self.site.fall_window if cold else BLIND_FOR
-                if self.has_room(server, ahead, share * carried[server.kind], window, asked):
+                part = server.weight / (warm + server.weight) if cold else 1.0
+                room = self.room_left(server, share * carried[server.kind], window)
+                if room >= ahead or (room > 0 and (asked or self.is_lucky(server, room, window, part))):
                     return server
                 passed.add(server.index)  # the others that tie are asked on: each has a budget of its own
                 best.remove(server)
@@ -637,23 +643,25 @@
         able = site.cold_share + (1 - site.cold_share) * age / site.warm_after
         return site.fall_multiple * able * site.fall_window / site.warm_after
 
-    def has_room(self, server: Server, load: float, budget: float, window: int, asked: bool) -> bool:
-        """Whether this balancer's part of what the server may be sent in a window has room for this load.
-
-        One dial from each of many balancers would push the server over. So less room than the dial is granted
-        by chance, drawn once for a window: however many dials ask in it, all balancers together come to their
-        budget, with no guess of how many will ask.
-        """
+    def room_left(self, server: Server, budget: float, window: int) -> float:
+        """What is left of this balancer's part of what the server may be sent in a window."""
         sent = server.sent
         while sent and sent[0][0] <= self.now - window:
             sent.popleft()
-        room = budget - sum(load for _, load in sent)
-        if room >= load:
-            return True
+        return budget - sum(load for _, load in sent)
+
+    def is_lucky(self, server: Server, room: float, window: int, part: float) -> bool:
+        """Grants less room than a dial by chance, drawn once for a window however many dials ask in it.
+
+        Guards against many balancers that send one dial each and push the server over together. Where it is
+        likely to be asked less than once in a window, as one of many that tie, the chance is as much higher.
+        """
         if self.now >= server.luck_until:
             server.luck = self.uniform(0, 1)
             server.luck_until = self.now + window
-        return room > 0 and (asked or server.luck * self.mean < room)
+        span = self.now - self.came[0]
+        due = max(len(self.came) * window / span if span else len(self.came), 1)
+        return server.luck * self.mean * min(due * part, 1) < room
 
     # Health
 
