Blind growth is bounded only where more dials are due than it allows

A balancer there makes a dial in seconds and hears of one server or two; a tenth a second of a part of a session was refused to nearly all. At fault: the chance counted one dial as due in every window. The dials that are likely to ask come from the balancer's last ones.

--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -534,6 +534,7 @@
         carried: dict[int, float] = {}  # by kind of machine
         gated = self.is_gated()
         while best := self.least(sess, ahead, passed):
+            tied = sum(s.weight for s in best)
             warm = sum(s.weight for s in best if not self.is_cold(s))
             while best:
                 asked = sess.asked_last in best  # its report was waited for
@@ -545,9 +546,15 @@
                     carried[server.kind] = self.sum_of_kind(server.kind)
                 share = self.cold_part(server) if cold else BLIND
                 window = self.site.fall_window if cold else BLIND_FOR
-                part = server.weight / (warm + server.weight) if cold else 1.0
+                # The dials of a window that are likely to ask it; a cold one is safe from any first burst.
+                due = len(self.came) * window / max(self.now - self.came[0], 1)
+                due = (
+                    max(due, 1) * server.weight / (warm + server.weight)
+                    if cold
+                    else due * server.weight / tied
+                )
                 room = self.room_left(server, share * carried[server.kind], window)
-                if room >= ahead or (room > 0 and (asked or self.is_lucky(server, room, window, part))):
+                if room >= ahead or (room > 0 and (asked or self.is_lucky(server, room, window, due))):
                     return server
                 passed.add(server.index)  # the others that tie are asked on: each has a budget of its own
                 best.remove(server)
@@ -650,18 +657,16 @@
             sent.popleft()
         return budget - sum(load for _, load in sent)
 
-    def is_lucky(self, server: Server, room: float, window: int, part: float) -> bool:
+    def is_lucky(self, server: Server, room: float, window: int, due: float) -> bool:
         """Grants less room than a dial by chance, drawn once for a window however many dials ask in it.
 
-        Guards against many balancers that send one dial each and push the server over together. Where it is
-        likely to be asked less than once in a window, as one of many that tie, the chance is as much higher.
+        Guards against many balancers that send one dial each and push the server over together. Where less
+        than one dial of a window is likely to ask, the chance is as much higher.
         """
         if self.now >= server.luck_until:
             server.luck = self.uniform(0, 1)
             server.luck_until = self.now + window
-        span = self.now - self.came[0]
-        due = max(len(self.came) * window / span if span else len(self.came), 1)
-        return server.luck * self.mean * min(due * part, 1) < room
+        return server.luck * self.mean * min(due, 1) < room
 
     # Health
 
