Warm servers that tie come after a cold one without room, before the other cold ones

With most sums zero a dial that had been drawn for a cold server went on through all cold ones that tie, so that those got more than their part of the ties.

--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -548,16 +548,15 @@
                 window = self.site.fall_window if cold else BLIND_FOR
                 # The dials of a window that are likely to ask it; a cold one is safe from any first burst.
                 due = len(self.came) * window / max(self.now - self.came[0], 1)
-                due = (
-                    max(due, 1) * server.weight / (warm + server.weight)
-                    if cold
-                    else due * server.weight / tied
-                )
+                if cold:
+                    due = max(due, 1)
+                part = server.weight / (server.weight if cold and not warm else tied)
                 room = self.room_left(server, share * carried[server.kind], window)
-                if room >= ahead or (room > 0 and (asked or self.is_lucky(server, room, window, due))):
+                if room >= ahead or (room > 0 and (asked or self.is_lucky(server, room, window, due * part))):
                     return server
-                passed.add(server.index)  # the others that tie are asked on: each has a budget of its own
-                best.remove(server)
+                passed.add(server.index)
+                # Warm ones that tie come next; else the other cold ones, as each has a budget of its own.
+                best = [s for s in best if s is not server and not (cold and warm and self.is_cold(s))]
         return None
 
     def draw(self, ties: list[Server]) -> Server:
