--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -83,3 +83,22 @@
         first.append(early)
     quarters = [sum(at // 1_250 == quarter for at in first) for quarter in range(4)]
     assert min(quarters) >= 4, quarters
+
+
+@pytest.mark.parametrize("failures", [0, 1, 4])
+def test_calls_for_the_list_are_out_of_step_at_a_start_and_after_any_failure(failures: int) -> None:
+    """Guards against a list that is called by all balancers at once, turns them away, and is called again."""
+    waits = []
+    for seed in range(40):
+        balancer = Balancer(seed, replace(SITE, replicas=40, list_on_request=True))
+        out = balancer.handle(0, own.ServerList(own.ListKind.SAVED, [entry(WARM, 0)]))
+        for count in range(failures):
+            out = balancer.handle((count + 1) * 30_000, own.ServerList(own.ListKind.FAILED, []))
+        waits += [action.after for action in out if isinstance(action, own.SetTimer)]
+    assert len(waits) == 40
+    waits.sort()
+    spread = waits[-1] - waits[0]
+    assert spread >= 8_000
+    # No tenth of the spread takes in more than a third of the calls.
+    tenths = [sum(1 for wait in waits if (wait - waits[0]) * 10 // (spread + 1) == at) for at in range(10)]
+    assert max(tenths) <= 13, tenths
