--- a/thymedeck/__main__.py
+++ b/thymedeck/__main__.py
@@ -7,7 +7,7 @@
 from .net.service import Service, Wakeup
 from .net.told import StartError, read_start
 
-VERSION = "0.3.0"
+VERSION = "0.4.0"
 
 
 def main() -> int:
