--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,6 +9,7 @@
 from tests.helpers import SITE
 from thymedeck import interface as own
 from thymedeck.net.service import Service
+from thymedeck.net.told import Listing, Row
 from thymedeck.policy import Balancer
 
 REPLICAS = 400
@@ -21,8 +22,8 @@
 class One:
     """One balancer with two sessions on a warm server, told of a cold one that has just started."""
 
-    def __init__(self, seed: int) -> None:
-        self.balancer = Balancer(seed, replace(SITE, replicas=REPLICAS))
+    def __init__(self, seed: int, told: int) -> None:
+        self.balancer = Balancer(seed, replace(SITE, replicas=told))
         self.next = 0
         self.balancer.handle(0, own.ServerList(own.ListKind.SAVED, [entry(WARM, 0)]))
         for _ in range(HELD):
@@ -44,10 +45,10 @@
     return own.Entry(server, 0, 0, own.State.READY, started)
 
 
-@pytest.mark.parametrize("dials", [4, 40])
-def test_cold_budget_of_a_fleet_is_used_and_kept_however_many_dials_come(dials: int) -> None:
-    """Guards against a budget that holds only if the number of dials to come is guessed well."""
-    fleet = [One(seed) for seed in range(REPLICAS)]
+@pytest.mark.parametrize(("dials", "told"), [(4, REPLICAS), (40, REPLICAS), (4, REPLICAS // 8)])
+def test_cold_budget_of_a_fleet_is_used_and_kept(dials: int, told: int) -> None:
+    """Guards against a budget that holds only if the dials to come or the balancers are counted well."""
+    fleet = [One(seed, told) for seed in range(REPLICAS)]
     for window in range(3):
         times = [LISTED + (window * dials + at) * WINDOW // dials for at in range(dials)]
         granted = sum(one.session(now) == COLD for now in times for one in fleet)
@@ -102,3 +103,19 @@
     # No tenth of the spread takes in more than a third of the calls.
     tenths = [sum(1 for wait in waits if (wait - waits[0]) * 10 // (spread + 1) == at) for at in range(10)]
     assert max(tenths) <= 13, tenths
+
+
+def test_a_server_that_comes_back_under_its_id_is_known_by_its_new_address_and_start() -> None:
+    """Guards against dials to where it was, and against taking a cold server for the warm one it was."""
+    service = object.__new__(Service)
+    service.server_index, service.servers, service.since_unix = {}, [], 5
+    service.zones, service.kinds = {"z": 0}, {"big": 0}
+    service.log = lambda *_, **__: None
+    told: list[own.ServerList] = []
+    service.tell = told.append
+    for address, started_ms in (("127.0.0.1:1", 0), ("127.0.0.2:2", 700), ("nowhere", 900)):
+        row = Row(id="s", addr=address, zone="z", kind="big", started_ms=started_ms)
+        service.take_list(Listing(version=1, full=True, servers=[row]), own.ListKind.WHOLE)
+    assert [known.address for known in service.servers] == [("127.0.0.2", 2)]
+    assert [one.entries[0].started for one in told] == [0, 7_005, 9_005]
+    assert {one.entries[0].kind for one in told} == {0}
--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -103,7 +103,7 @@
         self.started = entry.started
 
     def forget(self) -> None:
-        self.luck = 1.0  # while cold: under its room, in mean loads, it takes a dial of this window
+        self.luck = 1.0  # drawn for a window: with more room than this, in mean loads, a dial is let in
         self.luck_until = 0
         self.recent: deque[bool] = deque(maxlen=RECENT)  # set-ups: accepted or not
         self.sick = False
@@ -244,12 +244,12 @@
         if entry.started == server.started and entry.state is server.state:
             server.weight = entry.weight
             return False
-        if entry.started > server.started:
+        again = entry.started > server.started
+        server.list_as(entry)
+        if again:
             # Guards against a restarted server that draws a rush because its sum was emptied.
             server.forget()
-            server.list_as(entry)
             self.start(server)
-        server.list_as(entry)
         return True
 
     def start(self, server: Server) -> None:
