One seam for clocks, selector and sockets under the net code

First part of the laboratory (docs/lab.md): the loop holds what it asks the machine for, so that another can stand in. The daemon's path has no branch.

--- a/thymedeck/net/clients.py
+++ b/thymedeck/net/clients.py
@@ -29,7 +29,7 @@
 
     def __init__(self, service: "Service", address: tuple[str, int]) -> None:
         self.service = service
-        self.sock = socket.create_server(address, backlog=BACKLOG)
+        self.sock = service.loop.system.listen(address, BACKLOG)
         self.sock.setblocking(False)
         self.mask = 0
         self.is_open = True
--- a/thymedeck/net/log.py
+++ b/thymedeck/net/log.py
@@ -1,22 +1,24 @@
 """The log: one JSON line an event, on standard output."""
 
 import os
-import time
 import traceback
 from typing import Any
 
 import orjson
 
+from .system import System
+
 
 class EventLog:
-    def __init__(self, name: str, fd: int = 1) -> None:
+    def __init__(self, name: str, system: System, fd: int = 1) -> None:
+        self.time_ns = system.time_ns
         self.name = name
         self.fd = fd
         self.dropped = 0
         os.set_blocking(fd, False)
 
     def __call__(self, event: str, **more: Any) -> None:  # noqa: ANN401 (any value that JSON can hold)
-        line = {"time": round(time.time(), 4), "balancer": self.name, "event": event, **more}
+        line = {"time": round(self.time_ns() / 1e9, 4), "balancer": self.name, "event": event, **more}
         if self.dropped:
             line["dropped"] = self.dropped
         try:
--- a/thymedeck/net/loop.py
+++ b/thymedeck/net/loop.py
@@ -3,10 +3,11 @@
 import heapq
 import selectors
 import socket
-import time
 from collections.abc import Callable
 from typing import Protocol
 
+from .system import System
+
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
 OWN_DESCRIPTORS = 10  # that the program holds beside connections
 RESERVE = 8  # the part of what it may hold that is kept for dials and for the list
@@ -30,10 +31,14 @@
 
 
 class Loop:
-    def __init__(self, on_fault: Callable[[BaseException], None], most: int) -> None:
+    def __init__(
+        self, on_fault: Callable[[BaseException], None], most: int, system: System | None = None
+    ) -> None:
+        self.system = system or System()
+        self.monotonic_ns = self.system.monotonic_ns
         self.most = self.free = 0  # descriptors for connections, and those of them not in use
         self.limit(most)
-        self.selector = selectors.DefaultSelector()
+        self.selector = self.system.selector()
         self.timers: list[tuple[int, int, Due]] = []
         self.count = 0
         self.on_fault = on_fault
@@ -45,9 +50,8 @@
         self.most = most - OWN_DESCRIPTORS
         self.reserve = most // RESERVE
 
-    @staticmethod
-    def now() -> int:
-        return time.monotonic_ns() // 100_000
+    def now(self) -> int:
+        return self.monotonic_ns() // 100_000
 
     def after(self, wait: int, call: Callable[[], None]) -> Due:
         due = Due(self.now() + max(wait, 0), call)
--- a/thymedeck/net/serverlist.py
+++ b/thymedeck/net/serverlist.py
@@ -1,6 +1,5 @@
 """The list of servers: calls over HTTP, and a watch that is kept alive by the next call in time."""
 
-import socket
 from typing import TYPE_CHECKING, Any
 
 import httptools
@@ -27,7 +26,7 @@
     """A connection to discovery, kept for one call after another."""
 
     def __init__(self, loop: Loop, follower: "Follower", address: tuple[str, int]) -> None:
-        super().__init__(loop, socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        super().__init__(loop, loop.system.stream())
         self.follower = follower
         self.due = self.loop.after(CONNECT_WITHIN, self.overdue)
         self.refused = bool(self.connect(address))
--- a/thymedeck/net/servers.py
+++ b/thymedeck/net/servers.py
@@ -1,6 +1,5 @@
 """The servers' side: a connection for each dial, and what is learnt of each server from its lines."""
 
-import socket
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -36,7 +35,7 @@
     def __init__(
         self, service: "Service", client: "Client", server: int, connect_within: int, limit: int
     ) -> None:
-        super().__init__(service.loop, socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        super().__init__(service.loop, service.loop.system.stream())
         self.service = service
         self.client = client
         self.server = server
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -5,7 +5,6 @@
 import resource
 import signal
 import socket
-import time
 from collections import deque
 
 from msgspec.structs import replace
@@ -20,6 +19,7 @@
 from .loop import READ, Loop
 from .serverlist import Follower
 from .servers import Dialled, Known
+from .system import System
 from .told import Listing, Start, StartError, Told, address, read_again
 
 SECOND = 10_000
@@ -78,12 +78,13 @@
 
 
 class Service:
-    def __init__(self, start: Start) -> None:
+    def __init__(self, start: Start, system: System | None = None) -> None:
+        system = system or System()
         told = start.told
         env = self.settings = told.settings
-        self.log = EventLog(told.name)
+        self.log = EventLog(told.name, system)
         self.path = start.path
-        self.loop = Loop(self.log.fault, descriptors(told))
+        self.loop = Loop(self.log.fault, descriptors(told), system)
         # The protocol has no probes; connections end here.
         self.site = replace(deployment(env), may_probe=False, passes_through=False)
         self.balancer = Balancer(start.seed, self.site)
@@ -91,7 +92,7 @@
         self.listeners = {one.name.encode(): at for at, one in enumerate(env.listeners)}
         self.zones = {name: at for at, name in enumerate(env.zones)}
         self.kinds = {name: at for at, name in enumerate(env.kinds)}
-        self.since_unix = self.loop.now() - time.time_ns() // 100_000
+        self.since_unix = self.loop.now() - system.time_ns() // 100_000
         self.server_index: dict[str, int] = {}
         self.servers: list[Known] = []
         self.clients: dict[int, Client] = {}
--- /dev/null
+++ b/thymedeck/net/system.py
@@ -0,0 +1,22 @@
+"""All that the net code asks of the machine beside signals: two clocks, a selector, sockets (docs/lab.md)."""
+
+import selectors
+import socket
+import time
+
+
+class System:
+    """The machine's own. Another may stand in for it, with sockets that answer to the same calls."""
+
+    monotonic_ns = staticmethod(time.monotonic_ns)
+    time_ns = staticmethod(time.time_ns)
+    selector = staticmethod(selectors.DefaultSelector)
+
+    @staticmethod
+    def stream() -> socket.socket:
+        """To connect with."""
+        return socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+
+    @staticmethod
+    def listen(address: tuple[str, int], backlog: int) -> socket.socket:
+        return socket.create_server(address, backlog=backlog)
