--- /dev/null
+++ b/thymedeck/lab/world.py
@@ -0,0 +1,260 @@
+"""A world in virtual time: its clock, its event heap, and sockets in memory that the net code takes as real.
+
+Time passes only in `run`, from one event or timer to the next; what is due together comes in the order in
+which it was asked for. Nothing here knows what a balancer is.
+"""
+
+import errno
+import heapq
+import socket
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from ..net.loop import READ, WRITE, Loop
+
+Address = tuple[str, int]
+BUFFER = 65536  # bytes that wait on one way of a connection before its sender is held back
+START_NS = 1_000_000_000_000
+
+
+class Key(NamedTuple):
+    data: Any  # noqa: ANN401 (whatever was registered)
+
+
+class World:
+    def __init__(self, delay_ns: int) -> None:
+        self.now_ns = START_NS
+        self.delay_ns = delay_ns  # from any machine to any other
+        self.heap: list[tuple[int, int, Callable[[], None]]] = []
+        self.count = 0
+        self.doors: dict[Address, MemorySocket] = {}
+        self.loops: list[Loop] = []
+        self.cut: set[str] = set()  # machines that nothing comes from or gets to
+
+    def after(self, wait_ns: int, call: Callable[[], None]) -> None:
+        self.count += 1
+        heapq.heappush(self.heap, (self.now_ns + wait_ns, self.count, call))
+
+    def run(self, for_ns: int) -> None:
+        end = self.now_ns + for_ns
+        while True:
+            for loop in self.loops:
+                while loop.running and (loop.selector.ready() or self.timer_ns(loop) <= self.now_ns):
+                    loop.turn()
+            times = [self.timer_ns(loop) for loop in self.loops if loop.running]
+            if self.heap:
+                times.append(self.heap[0][0])
+            due = min(times, default=end + 1)
+            if due > end:
+                self.now_ns = end
+                return
+            self.now_ns = max(due, self.now_ns)
+            while self.heap and self.heap[0][0] <= self.now_ns:
+                heapq.heappop(self.heap)[2]()
+
+    @staticmethod
+    def timer_ns(loop: Loop) -> int:
+        """When the loop's next timer is due, in the loop's own whole tenths of a millisecond."""
+        while loop.timers and loop.timers[0][2].call is None:
+            heapq.heappop(loop.timers)
+        return loop.timers[0][0] * 100_000 if loop.timers else 1 << 62
+
+
+class Machine:
+    """Stands in for `net.system.System`: one machine of the world, with a log of its own."""
+
+    def __init__(self, world: World, host: str) -> None:
+        self.world = world
+        self.host = host
+        self.lines: list[bytes] = []
+        self.ports = 40_000
+
+    def monotonic_ns(self) -> int:
+        return self.world.now_ns
+
+    time_ns = monotonic_ns
+
+    def selector(self) -> "MemorySelector":
+        return MemorySelector()
+
+    def stream(self) -> "MemorySocket":
+        self.ports += 1
+        return MemorySocket(self.world, (self.host, self.ports))
+
+    def listen(self, address: Address, backlog: int) -> "MemorySocket":
+        if address in self.world.doors:
+            raise OSError(errno.EADDRINUSE, "address in use")
+        door = self.world.doors[address] = MemorySocket(self.world, address)
+        door.waiting = []
+        return door
+
+    def log(self) -> Callable[[bytes], None]:
+        return self.lines.append
+
+
+class MemorySelector:
+    def __init__(self) -> None:
+        self.watched: dict[MemorySocket, tuple[int, Any]] = {}
+
+    def register(self, sock: "MemorySocket", mask: int, data: Any) -> None:  # noqa: ANN401
+        self.watched[sock] = (mask, data)
+
+    modify = register
+
+    def unregister(self, sock: "MemorySocket") -> None:
+        del self.watched[sock]
+
+    def ready(self) -> list[tuple[Key, int]]:
+        found = []
+        for sock, (mask, data) in self.watched.items():
+            if hit := mask & sock.can():
+                found.append((Key(data), hit))
+        return found
+
+    def select(self, wait: float | None) -> list[tuple[Key, int]]:
+        return self.ready()  # the world waits, not the loop
+
+
+class MemorySocket:
+    """One end of a connection, or a listening socket: the calls that the net code makes, and their errors."""
+
+    def __init__(self, world: World, name: Address) -> None:
+        self.world = world
+        self.name = name
+        self.far: MemorySocket | None = None
+        self.waiting: list[MemorySocket] | None = None  # of a listening socket: not yet accepted
+        self.inbox = bytearray()
+        self.under_way = 0  # bytes sent that the other side has not taken yet
+        self.error = 0
+        self.ended = False  # the other side has ended its sending, and all of it is here
+        self.shut = False
+        self.connecting = False
+        self.closed = False
+        self.reset_on_close = False
+
+    def can(self) -> int:
+        if self.waiting is not None:
+            return READ if self.waiting else 0
+        if self.error:
+            return READ | WRITE
+        mask = READ if self.inbox or self.ended else 0
+        return (
+            mask | WRITE if self.far is not None and not self.connecting and self.under_way < BUFFER else mask
+        )
+
+    def carry(self, call: Callable[[], None], far: str) -> None:
+        """What this end does reaches the other a way's time later, unless one of the machines is cut off."""
+
+        def arrive() -> None:
+            if not self.world.cut & {self.name[0], far}:
+                call()
+
+        self.world.after(self.world.delay_ns, arrive)
+
+    def connect_ex(self, address: Address) -> int:
+        self.connecting = True
+        self.carry(lambda: self.knock(address), address[0])
+        return errno.EINPROGRESS
+
+    def knock(self, address: Address) -> None:
+        door = self.world.doors.get(address)
+        if self.closed:
+            return
+        if door is None:
+            self.carry(lambda: self.fail(errno.ECONNREFUSED), address[0])
+            return
+        near = MemorySocket(self.world, address)
+        near.far = self
+        door.waiting.append(near)
+        near.carry(lambda: self.joined(near), self.name[0])
+
+    def joined(self, near: "MemorySocket") -> None:
+        self.connecting = False
+        self.far = near
+
+    def accept(self) -> tuple["MemorySocket", Address]:
+        if not self.waiting:
+            raise BlockingIOError
+        near = self.waiting.pop(0)
+        return near, near.far.name
+
+    def fail(self, error: int) -> None:
+        if not self.closed:
+            self.error = error
+
+    def raise_error(self) -> None:
+        if self.error:
+            raise OSError(self.error, "failed")
+
+    def sendmsg(self, parts: list[memoryview]) -> int:
+        self.raise_error()
+        data = b"".join(parts)[: BUFFER - self.under_way]
+        if not data:
+            raise BlockingIOError
+        far = self.far
+        self.under_way += len(data)
+        self.carry(lambda: far.take(data), far.name[0])
+        return len(data)
+
+    def take(self, data: bytes) -> None:
+        if self.closed:
+            self.carry(lambda: self.far.fail(errno.ECONNRESET), self.far.name[0])
+        else:
+            self.inbox += data
+
+    def recvmsg_into(self, parts: list[memoryview]) -> tuple[int, list, int, None]:
+        data = self.recv(sum(len(part) for part in parts))
+        done = 0
+        for part in parts:
+            piece = data[done : done + len(part)]
+            part[: len(piece)] = piece
+            done += len(piece)
+        return done, [], 0, None
+
+    def recv(self, most: int) -> bytes:
+        self.raise_error()
+        data = bytes(self.inbox[:most])
+        if not data:
+            if self.ended:
+                return b""
+            raise BlockingIOError
+        del self.inbox[:most]
+        if self.far is not None:
+            self.far.under_way -= len(data)
+        return data
+
+    def shutdown(self, how: int) -> None:
+        self.raise_error()
+        if not self.shut:
+            self.shut = True
+            far = self.far
+            self.carry(far.end, far.name[0])
+
+    def end(self) -> None:
+        self.ended = True
+
+    def close(self) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        if self.waiting is not None:
+            del self.world.doors[self.name]
+        elif self.far is not None and not self.error:
+            far = self.far
+            if self.reset_on_close or self.inbox:
+                self.carry(lambda: far.fail(errno.ECONNRESET), far.name[0])
+            elif not self.shut:
+                self.carry(far.end, far.name[0])
+
+    def setsockopt(self, level: int, name: int, value: int | bytes) -> None:
+        if (level, name) == (socket.SOL_SOCKET, socket.SO_LINGER):
+            self.reset_on_close = True
+
+    def getsockopt(self, level: int, name: int) -> int:
+        return self.error
+
+    def setblocking(self, blocking: bool) -> None:
+        pass
+
+    def getsockname(self) -> Address:
+        return self.name
--- a/thymedeck/net/log.py
+++ b/thymedeck/net/log.py
@@ -1,6 +1,5 @@
 """The log: one JSON line an event, on standard output."""
 
-import os
 import traceback
 from typing import Any
 
@@ -10,19 +9,18 @@
 
 
 class EventLog:
-    def __init__(self, name: str, system: System, fd: int = 1) -> None:
+    def __init__(self, name: str, system: System) -> None:
         self.time_ns = system.time_ns
         self.name = name
-        self.fd = fd
+        self.write = system.log()
         self.dropped = 0
-        os.set_blocking(fd, False)
 
     def __call__(self, event: str, **more: Any) -> None:  # noqa: ANN401 (any value that JSON can hold)
         line = {"time": round(self.time_ns() / 1e9, 4), "balancer": self.name, "event": event, **more}
         if self.dropped:
             line["dropped"] = self.dropped
         try:
-            os.write(self.fd, orjson.dumps(line, default=str) + b"\n")
+            self.write(orjson.dumps(line, default=str) + b"\n")
             self.dropped = 0
         except OSError:
             # Guards against a reader of the log that has stopped: a line is dropped, the loop goes on.
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -115,12 +115,16 @@
 
     def serve(self, wakeup: Wakeup) -> None:
         wakeup.wake(self)
+        self.open()
+        self.loop.run()
+        self.log("stopped")
+
+    def open(self) -> None:
+        """Takes clients in from here on."""
         self.door = Door(self, self.listen)
         self.is_able = True
         self.loop.after(LOOK_EVERY, self.look_round)
         self.log("started", listen="{}:{}".format(*self.door.sock.getsockname()), servers=len(self.servers))
-        self.loop.run()
-        self.log("stopped")
 
     # The decisions
 
--- a/thymedeck/net/system.py
+++ b/thymedeck/net/system.py
@@ -1,8 +1,11 @@
 """All that the net code asks of the machine beside signals: two clocks, a selector, sockets (docs/lab.md)."""
 
+import os
 import selectors
 import socket
 import time
+from collections.abc import Callable
+from functools import partial
 
 
 class System:
@@ -20,3 +23,9 @@
     @staticmethod
     def listen(address: tuple[str, int], backlog: int) -> socket.socket:
         return socket.create_server(address, backlog=backlog)
+
+    @staticmethod
+    def log() -> Callable[[bytes], int]:
+        """What takes a line of the log, or raises OSError at once; never waits for a reader."""
+        os.set_blocking(1, False)
+        return partial(os.write, 1)
