--- a/tests/test_lab_world.py
+++ b/tests/test_lab_world.py
@@ -1,4 +1,4 @@
-"""The service's own code in a world of virtual time: served, refused, cut off, the same log for the same seed."""
+"""The service's own code in a world of virtual time: served, cut off, and the same log for the same seed."""
 
 import errno
 import json
