--- a/thymedeck/lab/world.py
+++ b/thymedeck/lab/world.py
@@ -39,8 +39,12 @@
         end = self.now_ns + for_ns
         while True:
             for loop in self.loops:
-                while loop.running and (loop.selector.ready() or self.timer_ns(loop) <= self.now_ns):
+                selector = loop.selector
+                while loop.running and (
+                    self.timer_ns(loop) <= self.now_ns or (selector.touched and selector.ready())
+                ):
                     loop.turn()
+                selector.touched = False
             times = [self.timer_ns(loop) for loop in self.loops if loop.running]
             if self.heap:
                 times.append(self.heap[0][0])
@@ -94,15 +98,19 @@
 
 class MemorySelector:
     def __init__(self) -> None:
+        self.touched = False  # something has changed since the last look
         self.watched: dict[MemorySocket, tuple[int, Any]] = {}
 
     def register(self, sock: "MemorySocket", mask: int, data: Any) -> None:  # noqa: ANN401
         self.watched[sock] = (mask, data)
+        sock.selector = self
+        self.touched = True
 
     modify = register
 
     def unregister(self, sock: "MemorySocket") -> None:
         del self.watched[sock]
+        sock.selector = None
 
     def ready(self) -> list[tuple[Key, int]]:
         found = []
@@ -121,6 +129,7 @@
     def __init__(self, world: World, name: Address) -> None:
         self.world = world
         self.name = name
+        self.selector: MemorySelector | None = None
         self.far: MemorySocket | None = None
         self.waiting: list[MemorySocket] | None = None  # of a listening socket: not yet accepted
         self.inbox = bytearray()
@@ -142,6 +151,10 @@
             mask | WRITE if self.far is not None and not self.connecting and self.under_way < BUFFER else mask
         )
 
+    def touch(self) -> None:
+        if self.selector is not None:
+            self.selector.touched = True
+
     def carry(self, call: Callable[[], None], far: str) -> None:
         """What this end does reaches the other a way's time later, unless one of the machines is cut off."""
 
@@ -166,11 +179,13 @@
         near = MemorySocket(self.world, address)
         near.far = self
         door.waiting.append(near)
+        door.touch()
         near.carry(lambda: self.joined(near), self.name[0])
 
     def joined(self, near: "MemorySocket") -> None:
         self.connecting = False
         self.far = near
+        self.touch()
 
     def accept(self) -> tuple["MemorySocket", Address]:
         if not self.waiting:
@@ -181,6 +196,7 @@
     def fail(self, error: int) -> None:
         if not self.closed:
             self.error = error
+            self.touch()
 
     def raise_error(self) -> None:
         if self.error:
@@ -201,6 +217,7 @@
             self.carry(lambda: self.far.fail(errno.ECONNRESET), self.far.name[0])
         else:
             self.inbox += data
+            self.touch()
 
     def recvmsg_into(self, parts: list[memoryview]) -> tuple[int, list, int, None]:
         data = self.recv(sum(len(part) for part in parts))
@@ -221,6 +238,7 @@
         del self.inbox[:most]
         if self.far is not None:
             self.far.under_way -= len(data)
+            self.far.touch()
         return data
 
     def shutdown(self, how: int) -> None:
@@ -232,6 +250,7 @@
 
     def end(self) -> None:
         self.ended = True
+        self.touch()
 
     def close(self) -> None:
         if self.closed:
