Read-through: the ordinary pick does no sums for budgets; one way to empty a ring, one look at sockets

pick summed weights and asked for cold servers at every dial, and worked out the dials due before it knew that chance was needed; both are done where a server is cold or bounded. Emptying a ring stood in three places (Ring.take). The world looked at a selector twice for each turn.

--- a/tests/test_lab_world.py
+++ b/tests/test_lab_world.py
@@ -22,8 +22,7 @@
     """A server's end: takes the session, then sends every line back."""
 
     def on_bytes(self, count: int) -> None:
-        data = self.inbound.copy(0, self.inbound.held)
-        self.inbound.skip(len(data))
+        data = self.inbound.take()
         self.say(b"UP receipt\r\n" if data.startswith(b"OPEN ") else data)
 
 
@@ -38,8 +37,7 @@
         self.await_more()
 
     def on_bytes(self, count: int) -> None:
-        self.heard += self.inbound.copy(0, self.inbound.held)
-        self.inbound.skip(self.inbound.held)
+        self.heard += self.inbound.take()
 
     def on_broken(self) -> None:
         self.heard += b"<broken>"
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -9,6 +9,7 @@
 
 from thymedeck.net.loop import Loop
 from thymedeck.net.service import Wakeup
+from thymedeck.net.system import System
 
 HANDLED = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
@@ -17,7 +18,7 @@
     """Stands in for the service that a signal is to reach."""
 
     def __init__(self) -> None:
-        self.loop = Loop(lambda fault: pytest.fail(str(fault)), 64)
+        self.loop = Loop(lambda fault: pytest.fail(str(fault)), 64, System())
         self.heard: list[str] = []
 
     def reload(self) -> None:
@@ -31,7 +32,7 @@
     real = socket.socket
 
     def refusing(family: int = -1, *more: int) -> socket.socket:
-        if family not in (socket.AF_INET,):
+        if family != socket.AF_INET:
             raise OSError("refused")
         return real(family, *more)
 
--- a/thymedeck/__main__.py
+++ b/thymedeck/__main__.py
@@ -5,6 +5,7 @@
 import sys
 
 from .net.service import Service, Wakeup
+from .net.system import System
 from .net.told import StartError, read_start
 
 VERSION = "0.4.0"
@@ -30,7 +31,7 @@
         if wakeup is None:
             print(f"{given.config}: ok, {len(start.told.settings.listeners)} listeners")
             return 0
-        Service(start).serve(wakeup)
+        Service(start, System()).serve(wakeup)
     except StartError as why:
         print(f"thymedeck: {why}", file=sys.stderr)
         return 2
--- a/thymedeck/lab/world.py
+++ b/thymedeck/lab/world.py
@@ -39,12 +39,8 @@
         end = self.now_ns + for_ns
         while True:
             for loop in self.loops:
-                selector = loop.selector
-                while loop.running and (
-                    self.timer_ns(loop) <= self.now_ns or (selector.touched and selector.ready())
-                ):
+                while loop.running and (loop.selector.touched or self.timer_ns(loop) <= self.now_ns):
                     loop.turn()
-                selector.touched = False
             times = [self.timer_ns(loop) for loop in self.loops if loop.running]
             if self.heap:
                 times.append(self.heap[0][0])
@@ -98,7 +94,7 @@
 
 class MemorySelector:
     def __init__(self) -> None:
-        self.touched = False  # something has changed since the last look
+        self.touched = False  # something may be ready: it changed, or was, at the last look
         self.watched: dict[MemorySocket, tuple[int, Any]] = {}
 
     def register(self, sock: "MemorySocket", mask: int, data: Any) -> None:  # noqa: ANN401
@@ -112,16 +108,15 @@
         del self.watched[sock]
         sock.selector = None
 
-    def ready(self) -> list[tuple[Key, int]]:
+    def select(self, wait: float | None) -> list[tuple[Key, int]]:
+        """Looks and does not wait: the world does."""
         found = []
         for sock, (mask, data) in self.watched.items():
             if hit := mask & sock.can():
                 found.append((Key(data), hit))
+        self.touched = bool(found)
         return found
 
-    def select(self, wait: float | None) -> list[tuple[Key, int]]:
-        return self.ready()  # the world waits, not the loop
-
 
 class MemorySocket:
     """One end of a connection, or a listening socket: the calls that the net code makes, and their errors."""
--- a/thymedeck/net/loop.py
+++ b/thymedeck/net/loop.py
@@ -31,14 +31,12 @@
 
 
 class Loop:
-    def __init__(
-        self, on_fault: Callable[[BaseException], None], most: int, system: System | None = None
-    ) -> None:
-        self.system = system or System()
-        self.monotonic_ns = self.system.monotonic_ns
+    def __init__(self, on_fault: Callable[[BaseException], None], most: int, system: System) -> None:
+        self.system = system
+        self.monotonic_ns = system.monotonic_ns
         self.most = self.free = 0  # descriptors for connections, and those of them not in use
         self.limit(most)
-        self.selector = self.system.selector()
+        self.selector = system.selector()
         self.timers: list[tuple[int, int, Due]] = []
         self.count = 0
         self.on_fault = on_fault
--- a/thymedeck/net/ring.py
+++ b/thymedeck/net/ring.py
@@ -53,6 +53,12 @@
     def copy(self, offset: int, length: int) -> bytes:
         return b"".join(self.parts(self.at + offset, length))
 
+    def take(self) -> bytes:
+        """All that is held, out of the ring."""
+        data = self.copy(0, self.held)
+        self.skip(len(data))
+        return data
+
     def newest(self, length: int) -> bytes:
         return self.copy(self.held - length, length)
 
--- a/thymedeck/net/serverlist.py
+++ b/thymedeck/net/serverlist.py
@@ -56,8 +56,7 @@
 
     def on_bytes(self, count: int) -> None:
         self.heard = True
-        data = self.inbound.copy(0, self.inbound.held)
-        self.inbound.skip(len(data))
+        data = self.inbound.take()
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as why:
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -78,8 +78,7 @@
 
 
 class Service:
-    def __init__(self, start: Start, system: System | None = None) -> None:
-        system = system or System()
+    def __init__(self, start: Start, system: System) -> None:
         told = start.told
         env = self.settings = told.settings
         self.log = EventLog(told.name, system)
--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -530,12 +530,11 @@
         # Guards against an overload in which a balancer with few sessions keeps filling servers of which
         # it hears nothing, as their sums are zero: by chance they are taken to be like those heard of.
         self.wary = not self.site.may_probe and self.uniform(0, 1) < self.full_share
-        passed: set[int] = set()  # cold servers without room
+        passed: set[int] = set()  # without room, cold or under the bound on blind growth
         carried: dict[int, float] = {}  # by kind of machine
         gated = self.is_gated()
-        while best := self.least(sess, ahead, passed):
-            tied = sum(s.weight for s in best)
-            warm = sum(s.weight for s in best if not self.is_cold(s))
+        while ties := self.least(sess, ahead, passed):
+            best = ties
             while best:
                 asked = sess.asked_last in best  # its report was waited for
                 server = sess.asked_last if asked else self.draw(best)
@@ -546,13 +545,10 @@
                     carried[server.kind] = self.sum_of_kind(server.kind)
                 share = self.cold_part(server) if cold else BLIND
                 window = self.site.fall_window if cold else BLIND_FOR
-                # The dials of a window that are likely to ask it; a cold one is safe from any first burst.
-                due = len(self.came) * window / max(self.now - self.came[0], 1)
-                if cold:
-                    due = max(due, 1)
-                part = server.weight / (server.weight if cold and not warm else tied)
+                warm = [s for s in ties if not self.is_cold(s)]
                 room = self.room_left(server, share * carried[server.kind], window)
-                if room >= ahead or (room > 0 and (asked or self.is_lucky(server, room, window, due * part))):
+                among = ties if warm else [server]
+                if room >= ahead or (room > 0 and (asked or self.is_lucky(server, room, window, among))):
                     return server
                 passed.add(server.index)
                 # Warm ones that tie come next; else the other cold ones, as each has a budget of its own.
@@ -656,12 +652,16 @@
             sent.popleft()
         return budget - sum(load for _, load in sent)
 
-    def is_lucky(self, server: Server, room: float, window: int, due: float) -> bool:
+    def is_lucky(self, server: Server, room: float, window: int, among: list[Server]) -> bool:
         """Grants less room than a dial by chance, drawn once for a window however many dials ask in it.
 
         Guards against many balancers that send one dial each and push the server over together. Where less
-        than one dial of a window is likely to ask, the chance is as much higher.
+        than one dial of a window is likely to ask, as one of these that tie, the chance is as much higher.
         """
+        due = len(self.came) * window / max(self.now - self.came[0], 1)
+        if self.is_cold(server):
+            due = max(due, 1)  # a cold one is safe from any first burst
+        due *= server.weight / sum(s.weight for s in among)
         if self.now >= server.luck_until:
             server.luck = self.uniform(0, 1)
             server.luck_until = self.now + window
