Signals wake the loop through a pipe, and are looked for each half second

At fault: Wakeup.__init__ and Wakeup.ready (net/service.py), which heard of signals only by a datagram to itself. Change: a pipe instead of the socket, and a look at what was heard each half second in case that is lost too.

--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -1,9 +1,12 @@
 """What the program needs at its start, on a platform that counts processor time and refuses some calls."""
 
+import contextlib
+import os
 import signal
 import socket
 import subprocess
 import sys
+from collections.abc import Iterator
 
 import pytest
 
@@ -28,31 +31,45 @@
         self.heard.append("stop")
 
 
-def test_signals_reach_the_loop_where_unix_sockets_are_refused(monkeypatch: pytest.MonkeyPatch) -> None:
-    real = socket.socket
-
-    def refusing(family: int = -1, *more: int) -> socket.socket:
-        if family != socket.AF_INET:
-            raise OSError("refused")
-        return real(family, *more)
-
-    monkeypatch.setattr(socket, "socket", refusing)
-    monkeypatch.setattr(socket, "socketpair", lambda *_: pytest.fail("a Unix socket was asked for"))
+@contextlib.contextmanager
+def signals_heard() -> Iterator[tuple[Hearing, Wakeup]]:
     before = {which: signal.getsignal(which) for which in HANDLED}
     hearing = Hearing()
     wakeup = Wakeup()
     try:
         wakeup.wake(hearing)
-        for which, heard in ((signal.SIGHUP, "reload"), (signal.SIGTERM, "stop")):
-            signal.raise_signal(which)
-            hearing.loop.after(50_000, lambda: pytest.fail("the loop slept through a signal"))
-            hearing.loop.turn()
-            assert hearing.heard.pop() == heard
+        yield hearing, wakeup
     finally:
-        signal.set_wakeup_fd(-1)
+        os.close(signal.set_wakeup_fd(-1))
         for which, handler in before.items():
             signal.signal(which, handler)
-        wakeup.sock.close()
+        os.close(wakeup.pipe)
+
+
+def hear_both(hearing: Hearing) -> None:
+    for which, heard in ((signal.SIGHUP, "reload"), (signal.SIGTERM, "stop")):
+        signal.raise_signal(which)
+        hearing.loop.after(50_000, lambda: pytest.fail("the loop slept through a signal"))
+        while not hearing.heard:
+            hearing.loop.turn()
+        assert hearing.heard.pop() == heard
+
+
+def test_signals_reach_the_loop_where_sockets_to_oneself_are_refused(monkeypatch: pytest.MonkeyPatch) -> None:
+    """There are platforms without Unix sockets, and others where UDP to oneself is taken and never comes."""
+    monkeypatch.setattr(socket, "socket", lambda *_, **__: pytest.fail("a socket was asked for"))
+    monkeypatch.setattr(socket, "socketpair", lambda *_: pytest.fail("a Unix socket was asked for"))
+    with signals_heard() as (hearing, _):
+        hear_both(hearing)
+
+
+def test_signals_are_heard_where_what_wakes_the_loop_is_lost() -> None:
+    with signals_heard() as (hearing, _):
+        written = signal.set_wakeup_fd(-1)
+        try:
+            hear_both(hearing)
+        finally:
+            signal.set_wakeup_fd(written)
 
 
 def test_serving_imports_nothing_that_it_does_not_use() -> None:
--- a/thymedeck/net/loop.py
+++ b/thymedeck/net/loop.py
@@ -57,7 +57,7 @@
         heapq.heappush(self.timers, (due.at, self.count, due))
         return due
 
-    def watch(self, sock: socket.socket, before: int, mask: int, ready: Ready) -> None:
+    def watch(self, sock: socket.socket | int, before: int, mask: int, ready: Ready) -> None:
         """Changes what is awaited of a socket from the mask before to this one; 0 is nothing."""
         if mask == before:
             return
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -1,10 +1,10 @@
 """One balancer on sockets: turns what happens to connections into events, and actions into what they do."""
 
 import contextlib
+import os
 import random
 import resource
 import signal
-import socket
 from collections import deque
 
 from msgspec.structs import replace
@@ -46,23 +46,33 @@
     def __init__(self) -> None:
         self.heard: set[int] = set()
         self.service: Service | None = None
-        # UDP to itself, as there are platforms that refuse Unix sockets.
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.sock.bind(("127.0.0.1", 0))
-        self.sock.connect(self.sock.getsockname())
-        self.sock.setblocking(False)
-        signal.set_wakeup_fd(self.sock.fileno(), warn_on_full_buffer=False)
+        # A pipe, as there are platforms that refuse Unix sockets, and others that carry UDP only between
+        # balancers: there a datagram to itself was taken and never came, and no signal was heard.
+        self.pipe, written = os.pipe()
+        os.set_blocking(self.pipe, False)
+        os.set_blocking(written, False)
+        signal.set_wakeup_fd(written, warn_on_full_buffer=False)
         for which in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(which, lambda number, _: self.heard.add(number))
 
     def wake(self, service: "Service") -> None:
         self.service = service
-        service.loop.watch(self.sock, 0, READ, self)
+        service.loop.watch(self.pipe, 0, READ, self)
+        service.loop.after(LOOK_EVERY, self.look)
 
     def ready(self, mask: int) -> None:
         with contextlib.suppress(BlockingIOError):
-            while self.sock.recv(4096):
+            while os.read(self.pipe, 4096):
                 pass
+        self.act()
+
+    def look(self) -> None:
+        """Guards against a platform that loses what wakes the loop: the signal is heard a little later."""
+        self.service.loop.after(LOOK_EVERY, self.look)
+        if self.heard:
+            self.act()
+
+    def act(self) -> None:
         # Guards against a signal lost among many: those of a kind that came together are one.
         heard, self.heard = self.heard, set()
         if signal.SIGHUP in heard:
