Ties go by what each kind of machine holds of the own sessions; logs name ids, zones, kinds

With 204 balancers of 11 sessions over 61 servers nearly every sum is zero, so pick() is Balancer.draw() among ties, even by chance, and all together level what is not alike. At fault: policy.py draw(), chances by the list's weights alone, and the list gives none here. Change: a tied kind is drawn by the part of the own sessions that its warm servers hold, one more spread over all. One balancer's part is a guess; over the fleet the guesses add up to what stood well. Also: the log names the id of a client's line and a server's zone and kind, to follow one request through a fleet.

--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -220,7 +220,14 @@
         subject = key.decode("latin-1")
         sess = client.sess = self.next_sess
         self.next_sess += 1
-        self.log("came", sess=sess, key=subject, listener=listener, figures=text.decode("latin-1"))
+        self.log(
+            "came",
+            sess=sess,
+            id=ident.decode(),
+            key=subject,
+            listener=listener,
+            figures=text.decode("latin-1"),
+        )
         if b"at" in figures:
             server = self.server_index.get(figures[b"at"].decode("latin-1"))
             if server is None:
@@ -376,7 +383,8 @@
                 self.drains(index)
             zone, machine = self.zones.get(row.zone, -1), self.kinds.get(row.kind, -1)
             entries.append(own.Entry(index, zone, row.cell, state, started, weight, machine))
-            self.log("listed", kind=kind.name, server=index, id=row.id, state=row.state, started=started)
+            more = {"zone": row.zone, "machine": row.kind, "state": row.state, "started": started}
+            self.log("listed", kind=kind.name, server=index, id=row.id, **more)
         if kind is own.ListKind.WHOLE:
             named = {entry.server for entry in entries}
             for index in range(len(self.servers)):
--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 
 from .interface import (
@@ -185,6 +185,9 @@
         self.full_share = 0.0  # of the servers heard of, those at their cap
         self.with_room = 0  # servers not known to be full
         self.looked_at = -LOOK_EVERY - 1
+        self.held: dict[int, float] = {}  # by kind of machine, what its warm servers hold of the own sessions
+        self.held_usual = 1.0  # a server
+        self.held_at = -LOOK_EVERY - 1
         self.crowd_at = -LOG_PAUSE - 1  # last refusal because every server was at its cap
         self.handlers: dict[type, Callable[[Event], None]] = {
             ServerList: self.on_list,
@@ -556,7 +559,30 @@
         return None
 
     def draw(self, ties: list[Server]) -> Server:
-        return ties[0] if len(ties) == 1 else self.choices(ties, [s.weight for s in ties])[0]
+        return ties[0] if len(ties) == 1 else self.choices(ties, self.chances(ties))[0]
+
+    def chances(self, ties: list[Server]) -> list[float]:
+        """By the list's weights, and of each kind of machine by the part of the own sessions that it holds.
+
+        Guards against many balancers whose sums are zero nearly everywhere, so that all their ties together
+        level what is not alike: slow kinds came to hold as many as fast ones.
+        """
+        tied = Counter([s.kind for s in ties])
+        if len(tied) == 1:
+            return [s.weight for s in ties]
+        if self.now - self.held_at > LOOK_EVERY:
+            self.look_at_kinds()
+        held, usual = self.held, self.held_usual
+        return [s.weight * held.get(s.kind, usual * tied[s.kind]) / tied[s.kind] for s in ties]
+
+    def look_at_kinds(self) -> None:
+        """Sessions and not their loads, which differ too much; one more is taken to be spread over all."""
+        self.held_at = self.now
+        warm = [s for s in self.ready if not self.is_cold(s)]
+        self.held = {}
+        for server in warm:
+            self.held[server.kind] = self.held.get(server.kind, 0.0) + len(server.standing) + 1 / len(warm)
+        self.held_usual = sum(self.held.values()) / max(len(warm), 1)
 
     def least(self, sess: Session, ahead: float, passed: set[int]) -> list[Server]:
         """The servers of the best rank that tie for the smallest sum."""
@@ -661,7 +687,8 @@
         due = len(self.came) * window / max(self.now - self.came[0], 1)
         if self.is_cold(server):
             due = max(due, 1)  # a cold one is safe from any first burst
-        due *= server.weight / sum(s.weight for s in among)
+        chances = self.chances(among)
+        due *= chances[among.index(server)] / sum(chances)
         if self.now >= server.luck_until:
             server.luck = self.uniform(0, 1)
             server.luck_until = self.now + window
