Sums are compared by what servers of their kind hold of the own sessions

At fault: policy.py least(), which levels sums of servers that are not alike. Change: a sum counts times what the mean warm server holds over what one of its kind holds, worked out once a second. Zero sums and fleets of one kind are as before.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -119,3 +119,50 @@
     assert [known.address for known in service.servers] == [("127.0.0.2", 2)]
     assert [one.entries[0].started for one in told] == [0, 7_005, 9_005]
     assert {one.entries[0].kind for one in told} == {0}
+
+
+FAST, SLOW = 0, 1  # kinds of machine
+
+
+def of_kinds(count: int) -> list[own.Entry]:
+    """Servers of two kinds by turns, all of them warm."""
+    return [own.Entry(at, 0, 0, own.State.READY, 0, kind=at % 2) for at in range(count)]
+
+
+def test_ties_of_a_fleet_keep_to_each_kind_of_machine_the_part_it_held() -> None:
+    """Guards against sums that are zero nearly everywhere, by which all balancers level what is not alike."""
+    chance = random.Random(3)
+    placed = [0, 0]
+    for seed in range(200):
+        balancer = Balancer(seed, replace(SITE, replicas=200))
+        balancer.handle(0, own.ServerList(own.ListKind.SAVED, of_kinds(40)))
+        for sess in range(8):
+            at = 2 * chance.randrange(20) + chance.choices((FAST, SLOW), (3, 1))[0]
+            balancer.handle(0, own.SessionStands(sess, 0, None, None, at))
+        for sess in range(8, 12):
+            (dial,) = balancer.handle(20_000, own.SessionCame(sess, 0, 12_000, None, None, False))
+            placed[dial.server % 2] += 1
+    assert 0.66 < placed[FAST] / sum(placed) < 0.78, placed
+
+
+def test_sums_are_compared_by_what_servers_of_a_kind_hold() -> None:
+    """Guards against one balancer with many sessions that fills slow servers until their sums are level."""
+    balancer = Balancer(1, replace(SITE, replicas=200))
+    balancer.handle(0, own.ServerList(own.ListKind.SAVED, of_kinds(4)))
+    for sess in range(90):
+        balancer.handle(0, own.SessionStands(sess, 0, None, None, (0, 2, 0, 2, 1, 3)[sess % 6]))
+    placed = [0, 0]
+    for sess in range(90, 120):
+        (dial,) = balancer.handle(20_000, own.SessionCame(sess, 0, 12_000, None, None, False))
+        placed[dial.server % 2] += 1
+    assert 17 <= placed[FAST] <= 23, placed
+
+
+def test_a_kind_of_which_nothing_is_held_is_tried_like_any_other() -> None:
+    placed = [0, 0]
+    for seed in range(200):
+        balancer = Balancer(seed, replace(SITE, replicas=200))
+        balancer.handle(0, own.ServerList(own.ListKind.SAVED, of_kinds(6)))
+        (dial,) = balancer.handle(20_000, own.SessionCame(0, 0, 12_000, None, None, False))
+        placed[dial.server % 2] += 1
+    assert 70 < placed[FAST] < 130, placed
--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -74,7 +74,7 @@
     """A server as this balancer alone has seen it."""
 
     __slots__ = (
-        "asked_at", "asking", "cell", "crowded", "delay", "dials_out", "full_until", "handicap",
+        "asked_at", "asking", "cell", "crowded", "delay", "dials_out", "ease", "full_until", "handicap",
         "handicap_at", "index", "kind", "lacking", "luck", "luck_until", "most", "over", "pressure", "recent",
         "relieved_at", "sent", "sick", "silent_until", "slow_until", "standing", "started", "state",
         "told", "told_at_report", "told_until", "trial_at", "trials", "waits", "weight", "zone",
@@ -83,6 +83,7 @@
     def __init__(self, entry: Entry) -> None:
         self.index = entry.server
         self.list_as(entry)
+        self.ease = 1.0  # what the mean server holds of the own sessions over what one of its kind holds
         self.told = 0.0  # summed load of own standing connections whose load is known
         self.lacking = 0  # own standing connections whose load is not known yet
         self.handicap = 0.0
@@ -536,6 +537,8 @@
         passed: set[int] = set()  # without room, cold or under the bound on blind growth
         carried: dict[int, float] = {}  # by kind of machine
         gated = self.is_gated()
+        if self.now - self.held_at > LOOK_EVERY:
+            self.look_at_kinds()
         while ties := self.least(sess, ahead, passed):
             best = ties
             while best:
@@ -570,8 +573,6 @@
         tied = Counter([s.kind for s in ties])
         if len(tied) == 1:
             return [s.weight for s in ties]
-        if self.now - self.held_at > LOOK_EVERY:
-            self.look_at_kinds()
         held, usual = self.held, self.held_usual
         return [s.weight * held.get(s.kind, usual * tied[s.kind]) / tied[s.kind] for s in ties]
 
@@ -582,7 +583,11 @@
         self.held = {}
         for server in warm:
             self.held[server.kind] = self.held.get(server.kind, 0.0) + len(server.standing) + 1 / len(warm)
-        self.held_usual = sum(self.held.values()) / max(len(warm), 1)
+        self.held_usual = usual = sum(self.held.values()) / max(len(warm), 1)
+        count = Counter([s.kind for s in warm])
+        for server in self.ready:
+            kind = server.kind
+            server.ease = usual * count[kind] / self.held[kind] if kind in self.held else 1.0
 
     def least(self, sess: Session, ahead: float, passed: set[int]) -> list[Server]:
         """The servers of the best rank that tie for the smallest sum."""
@@ -619,7 +624,7 @@
             load = server.told + server.lacking * mean
             if now < server.handicap_at + FADE:
                 load += self.faded(server)
-            key = (rank, load)
+            key = (rank, load * server.ease)
             if key < best_key:
                 best_key = key
                 best = [server]
