--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -492,9 +492,6 @@
         outcome = event.outcome
         lost = self.load_of(sess)
         self.leave(sess)
-        if outcome is Outcome.SENT_AWAY:
-            # Guards against dials to a server that drains, until the list has had the time to say so.
-            server.full_until = self.now + self.site.ask_within
         if sess.standing:
             server.standing.pop(event.sess, None)
             if outcome not in (Outcome.ENDED, Outcome.CANCELLED, Outcome.SENT_AWAY):
