Among ties newcomers come first within their kind while they lack sessions

All 198 balancers draw evenly between what is full and what is empty, as their own sums are zero on both. At fault: policy.py chances(), one chance for all servers of a kind. Change: what a kind carries is told by settled servers only; newcomers of a kind are drawn before the others by what they lack.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -166,3 +166,25 @@
         (dial,) = balancer.handle(20_000, own.SessionCame(0, 0, 12_000, None, None, False))
         placed[dial.server % 2] += 1
     assert 70 < placed[FAST] < 130, placed
+
+
+def test_ties_go_to_newcomers_while_they_lack_sessions() -> None:
+    """Guards against newcomers that stay empty where every balancer's sum is zero on most servers."""
+    placed, chance = [0, 0], random.Random(5)
+    for seed in range(100):
+        now = LISTED + SITE.warm_after + 1
+        balancer = Balancer(seed, replace(SITE, replicas=200))
+        old = [entry(at, 0) for at in range(20)]
+        balancer.handle(0, own.ServerList(own.ListKind.SAVED, old))
+        for sess, at in enumerate(chance.sample(range(20), 8)):
+            balancer.handle(0, own.SessionStands(sess, 0, None, None, at))
+        balancer.handle(
+            LISTED, own.ServerList(own.ListKind.CHANGES, [entry(at, LISTED) for at in range(20, 30)])
+        )
+        for sess in range(8, 14):
+            (dial,) = balancer.handle(now, own.SessionCame(sess, 0, 12_000, None, None, False))
+            balancer.handle(now, own.Established(sess, dial.server, 100))
+            placed[dial.server >= 20] += 1
+            now += 20_000
+    # Four of these six level 8 on 20 servers with 10 newcomers; an even draw brings two or three there.
+    assert placed[True] / sum(placed) > 0.55, placed
--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Callable
 
 from .interface import (
@@ -77,12 +77,13 @@
         "asked_at", "asking", "cell", "crowded", "delay", "dials_out", "ease", "full_until", "handicap",
         "handicap_at", "index", "kind", "lacking", "luck", "luck_until", "most", "over", "pressure", "recent",
         "relieved_at", "sent", "sick", "silent_until", "slow_until", "standing", "started", "state",
-        "told", "told_at_report", "told_until", "trial_at", "trials", "waits", "weight", "zone",
+        "told", "told_at_report", "told_until", "trial_at", "trials", "waits", "weight", "young", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Entry) -> None:
         self.index = entry.server
         self.list_as(entry)
+        self.young = False  # started of late
         self.ease = 1.0  # what the mean server holds of the own sessions over what one of its kind holds
         self.told = 0.0  # summed load of own standing connections whose load is known
         self.lacking = 0  # own standing connections whose load is not known yet
@@ -124,6 +125,14 @@
         self.silent_until = 0
 
 
+def held_by_kind(servers: list[Server]) -> dict[int, float]:
+    """Own sessions that a server of each kind of machine holds, in the mean."""
+    held: dict[int, list[int]] = {}
+    for server in servers:
+        held.setdefault(server.kind, []).append(len(server.standing))
+    return {kind: sum(each) / len(each) for kind, each in held.items()}
+
+
 class Session:
     __slots__ = (
         "asked", "asked_last", "deadline", "dialled_at", "dials", "erred", "finished", "listener", "load",
@@ -186,9 +195,9 @@
         self.full_share = 0.0  # of the servers heard of, those at their cap
         self.with_room = 0  # servers not known to be full
         self.looked_at = -LOOK_EVERY - 1
-        self.held: dict[int, float] = {}  # by kind of machine, what its warm servers hold of the own sessions
-        self.held_usual = 1.0  # a server
-        self.held_at = -LOOK_EVERY - 1
+        self.kind_parts: dict[int, float] = {}  # what the servers of a kind of machine carry, of own sessions
+        self.lacking_young: dict[int, float] = {}  # by kind, what newcomers hold over what others do
+        self.kinds_at = -LOOK_EVERY - 1
         self.crowd_at = -LOG_PAUSE - 1  # last refusal because every server was at its cap
         self.handlers: dict[type, Callable[[Event], None]] = {
             ServerList: self.on_list,
@@ -534,7 +543,7 @@
         passed: set[int] = set()  # without room, cold or under the bound on blind growth
         carried: dict[int, float] = {}  # by kind of machine
         gated = self.is_gated()
-        if self.now - self.held_at > LOOK_EVERY:
+        if self.now - self.kinds_at > LOOK_EVERY:
             self.look_at_kinds()
         while ties := self.least(sess, ahead, passed):
             best = ties
@@ -562,29 +571,44 @@
         return ties[0] if len(ties) == 1 else self.choices(ties, self.chances(ties))[0]
 
     def chances(self, ties: list[Server]) -> list[float]:
-        """By the list's weights, and of each kind of machine by the part of the own sessions that it holds.
+        """By the list's weights, of each kind of machine by its part, and within it by what newcomers lack.
 
         Guards against many balancers whose sums are zero nearly everywhere, so that all their ties together
-        level what is not alike: slow kinds came to hold as many as fast ones.
+        level what is not alike: slow kinds came to hold as many as fast ones, newcomers stayed empty.
         """
-        tied = Counter([s.kind for s in ties])
-        if len(tied) == 1:
+        first = ties[0]
+        if all(s.kind == first.kind and s.young == first.young for s in ties):
             return [s.weight for s in ties]
-        held, usual = self.held, self.held_usual
-        return [s.weight * held.get(s.kind, usual * tied[s.kind]) / tied[s.kind] for s in ties]
+        parts, lacking = self.kind_parts, self.lacking_young
+        wanting = {s.kind: lacking.get(s.kind, 1.0) for s in ties if s.young}
+        chances = [s.weight * (1.0 if s.young else wanting.get(s.kind, 1.0)) for s in ties]
+        tied: dict[int, float] = {}
+        for server, chance in zip(ties, chances, strict=True):
+            tied[server.kind] = tied.get(server.kind, 0.0) + chance
+        return [c * parts[s.kind] / tied[s.kind] for s, c in zip(ties, chances, strict=True)]
 
     def look_at_kinds(self) -> None:
-        """Sessions and not their loads, which differ too much; one more is taken to be spread over all."""
-        self.held_at = self.now
-        warm = [s for s in self.ready if not self.is_cold(s)]
-        self.held = {}
-        for server in warm:
-            self.held[server.kind] = self.held.get(server.kind, 0.0) + len(server.standing) + 1 / len(warm)
-        self.held_usual = usual = sum(self.held.values()) / max(len(warm), 1)
-        count = Counter([s.kind for s in warm])
+        """Sessions and not their loads, which differ too much; one more is taken to be spread over all.
+
+        What a kind carries is told by servers that have been there for long; newcomers hold less for a while.
+        """
+        self.kinds_at = self.now
+        recent = self.now - self.site.warm_after - FADE
+        for server in self.ready:
+            server.young = server.started > max(recent, 0)
+        settled = [s for s in self.ready if not s.young] or self.ready
+        carried = held_by_kind(settled)
+        if not carried:
+            return
+        usual = sum(len(s.standing) for s in settled) / len(settled) + 1 / len(settled)
+        each = {kind: held + 1 / len(settled) for kind, held in carried.items()}
+        young = held_by_kind([s for s in self.ready if s.young])
+        self.lacking_young = {k: min(held / each.get(k, usual), 1.0) for k, held in young.items()}
+        self.kind_parts = {}
         for server in self.ready:
-            kind = server.kind
-            server.ease = usual * count[kind] / self.held[kind] if kind in self.held else 1.0
+            carries = each.get(server.kind, usual)
+            server.ease = usual / carries
+            self.kind_parts[server.kind] = self.kind_parts.get(server.kind, 0.0) + carries
 
     def least(self, sess: Session, ahead: float, passed: set[int]) -> list[Server]:
         """The servers of the best rank that tie for the smallest sum."""
