A bad entry spoils no list, names are not looked up, the door is emptied before it closes

Now each row is decoded alone (bad_entry); a known server stays as it was. - a host name as address was looked up in connect_ex, and failed in the middle of a dial; now it is bad_address. - service.py leave() took in 32 of up to 512 that wait at the door, the rest were reset; now all. - service.py list_failed() called again after a fixed second where the list is pushed, in step over all balancers; the decisions' timer, spread by chance and backing off, does it alone now.

--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,78 @@
+"""Lists with entries that can't be used, and what waits at the door when it closes."""
+
+import socket
+
+import pytest
+
+from thymedeck import interface as own
+from thymedeck.net.clients import AT_ONCE, Door
+from thymedeck.net.loop import Loop
+from thymedeck.net.serverlist import decode
+from thymedeck.net.service import Service
+from thymedeck.net.system import System
+
+GOOD = '{"id":"good","addr":"127.0.0.1:9"}'
+BAD = [
+    '{"id":"known","addr":"127.0.0.1:8","weight":"x"}',
+    '{"id":"known","addr":"127.0.0.1:8","started_ms":1e308}',
+    '{"id":"known","addr":"127.0.0.1:8","weight":1e300}',
+    '{"id":"known","addr":"127.0.0.1:8","cell":1e99}',
+    '{"id":7,"addr":"127.0.0.1:8"}',
+    '{"addr":"127.0.0.1:8"}',
+    "[]",
+    "null",
+]
+
+
+@pytest.fixture
+def service() -> Service:
+    """As far as lists go."""
+    service = object.__new__(Service)
+    service.server_index, service.servers, service.since_unix = {}, [], 5
+    service.zones, service.kinds = {}, {}
+    service.logged = []
+    service.log = lambda event, **_: service.logged.append(event)
+    service.told = []
+    service.tell = service.told.append
+    return service
+
+
+@pytest.mark.parametrize("bad", BAD)
+def test_one_bad_entry_spoils_neither_the_list_nor_its_server(service: Service, bad: str) -> None:
+    """Guards against a list refused whole, and against a server taken to be gone for a slip in its entry."""
+    before = '{"version":1,"full":true,"servers":[{"id":"known","addr":"127.0.0.1:7"}]}'
+    service.take_list(decode(before), own.ListKind.WHOLE)
+    known = service.told[0].entries[0]
+    service.take_list(decode(f'{{"version":2,"full":true,"servers":[{bad},{GOOD}]}}'), own.ListKind.WHOLE)
+    entries = {one.server: one for one in service.told[1].entries}
+    assert entries.pop(service.server_index["good"]).state is own.State.READY
+    assert list(entries.values()) == ([known] if "known" in bad else [])
+    assert service.logged.count("bad_entry") == 1
+
+
+@pytest.mark.parametrize("address", ["somewhere:80", "127.0.0.1:0", "127.0.0.1", "1.2.3:4", "::1:80"])
+def test_a_server_whose_address_is_no_figure_is_passed_over(service: Service, address: str) -> None:
+    """Guards against a look-up that stops the loop, or fails in the middle of a dial."""
+    text = f'{{"version":1,"full":true,"servers":[{{"id":"a","addr":"{address}"}},{GOOD}]}}'
+    service.take_list(decode(text), own.ListKind.WHOLE)
+    assert list(service.server_index) == ["good"]
+    assert "bad_address" in service.logged
+
+
+def test_all_that_waits_at_the_door_is_taken_in_before_it_closes() -> None:
+    """Guards against resets of those that one turn does not reach, when a balancer is told to stop."""
+    service = object.__new__(Service)
+    service.loop = Loop(lambda fault: pytest.fail(str(fault)), 1024, System())
+    service.loose, service.clients, service.last = {}, {}, service.loop.now() + 30_000
+    service.log = lambda *_, **__: None
+    service.door = Door(service, ("127.0.0.1", 0))
+    count = 2 * AT_ONCE + 1
+    waiting = [socket.create_connection(service.door.sock.getsockname()) for _ in range(count)]
+    try:
+        service.leave()
+        assert len(service.loose) == count
+    finally:
+        for client in list(service.loose):
+            client.close()
+        for sock in waiting:
+            sock.close()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 
+import msgspec
 import pytest
 from msgspec.structs import replace
 
@@ -115,7 +116,8 @@
     service.tell = told.append
     for address, started_ms in (("127.0.0.1:1", 0), ("127.0.0.2:2", 700), ("nowhere", 900)):
         row = Row(id="s", addr=address, zone="z", kind="big", started_ms=started_ms)
-        service.take_list(Listing(version=1, full=True, servers=[row]), own.ListKind.WHOLE)
+        raw = msgspec.Raw(msgspec.json.encode(row))
+        service.take_list(Listing(version=1, full=True, servers=[raw]), own.ListKind.WHOLE)
     assert [known.address for known in service.servers] == [("127.0.0.2", 2)]
     assert [one.entries[0].started for one in told] == [0, 7_005, 9_005]
     assert {one.entries[0].kind for one in told} == {0}
--- a/tests/test_lab_world.py
+++ b/tests/test_lab_world.py
@@ -65,7 +65,9 @@
             "limits": {"sockets": 256},
         }  # fmt: skip
         self.machine = Machine(self.world, BALANCER[0])
-        start = Start("", msgspec.convert(told, Told), BALANCER, ("10.2.0.1", 8500), seed)
+        start = Start(
+            "", msgspec.json.decode(msgspec.json.encode(told), type=Told), BALANCER, ("10.2.0.1", 8500), seed
+        )
         self.service = Service(start, self.machine)
         self.service.open()
         Door(self.loop("10.1.0.1"))
--- a/thymedeck/net/clients.py
+++ b/thymedeck/net/clients.py
@@ -41,11 +41,17 @@
             self.mask = READ
 
     def ready(self, mask: int) -> None:
+        self.take_some()
+
+    def take_some(self) -> bool:
+        """Whether more may wait."""
         for _ in range(AT_ONCE):
             try:
                 sock, _ = self.sock.accept()
-            except (BlockingIOError, InterruptedError, ConnectionError):
-                return
+            except BlockingIOError:
+                return False
+            except (InterruptedError, ConnectionError):
+                continue
             except OSError as why:
                 # Guards against spinning on a connection that can't be taken in for want of sockets.
                 if why.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
@@ -53,8 +59,9 @@
                     self.service.loop.watch(self.sock, self.mask, 0, self)
                     self.mask = 0
                     self.service.loop.after(FULL_PAUSE, self.await_clients)
-                return
+                return False
             self.take_in(sock)
+        return True
 
     def take_in(self, sock: socket.socket) -> None:
         """Guards against a crowd that says nothing, or stays on, and takes the sockets that dials need."""
--- a/thymedeck/net/servers.py
+++ b/thymedeck/net/servers.py
@@ -3,6 +3,7 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+from ..interface import Entry
 from .connection import Connection
 from .endings import Ending
 from .lines import Garbled, Lines, first_line
@@ -18,10 +19,11 @@
 class Known:
     """A server by its index at the decisions' door."""
 
-    __slots__ = ("address", "beat", "delays", "slow", "standing", "stopped")
+    __slots__ = ("address", "beat", "delays", "entry", "slow", "standing", "stopped")
 
     def __init__(self, address: tuple[str, int]) -> None:
         self.address = address
+        self.entry: Entry | None = None  # as last listed
         self.beat = Beat()
         self.delays: deque[int] = deque(maxlen=SAMPLES)
         self.slow = False  # its messages were told to be slow
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -7,6 +7,7 @@
 import signal
 from collections import deque
 
+import msgspec
 from msgspec.structs import replace
 
 from .. import interface as own
@@ -20,7 +21,7 @@
 from .serverlist import Follower
 from .servers import Dialled, Known
 from .system import System
-from .told import Listing, Start, StartError, Told, address, read_again
+from .told import Listing, Start, StartError, Told, name_of, read_again, server_address, usable
 
 SECOND = 10_000
 STATES = {"SERVING": own.State.READY, "DRAINING": own.State.DRAINING, "DELETED": own.State.GONE}
@@ -363,10 +364,19 @@
 
     def take_list(self, listing: Listing, kind: own.ListKind) -> None:
         entries = []
-        for row in listing.servers:
+        for raw in listing.servers:
+            try:
+                row = usable(raw)
+            except (ValueError, msgspec.MsgspecError) as why:
+                # Guards against one bad entry that spoils the list: the rest is used, it stays as it was.
+                self.log("bad_entry", why=str(why), entry=bytes(raw)[:200].decode("latin-1"))
+                index = self.server_index.get(name_of(raw), -1)
+                if index >= 0:
+                    entries.append(self.servers[index].entry)
+                continue
             index = self.server_index.get(row.id)
             try:
-                place = address(row.addr)
+                place = server_address(row.addr)
             except ValueError:
                 if index is None:
                     self.log("bad_address", server=row.id, address=row.addr)
@@ -382,7 +392,9 @@
             if state is not own.State.READY and kind is not own.ListKind.SAVED:
                 self.drains(index)
             zone, machine = self.zones.get(row.zone, -1), self.kinds.get(row.kind, -1)
-            entries.append(own.Entry(index, zone, row.cell, state, started, weight, machine))
+            entry = own.Entry(index, zone, row.cell, state, started, weight, machine)
+            self.servers[index].entry = entry
+            entries.append(entry)
             more = {"zone": row.zone, "machine": row.kind, "state": row.state, "started": started}
             self.log("listed", kind=kind.name, server=index, id=row.id, **more)
         if kind is own.ListKind.WHOLE:
@@ -406,9 +418,8 @@
 
     def list_failed(self, why: str) -> None:
         self.log("list_failed", why=why)
+        # The decisions ask again, spread by chance. Guards against many balancers that call in step.
         self.tell(own.ServerList(own.ListKind.FAILED, []))
-        if not self.site.list_on_request:
-            self.loop.after(SECOND, self.follower.follow)
 
     # A new configuration
 
@@ -443,7 +454,9 @@
 
     def leave(self) -> None:
         if self.door is not None:
-            self.door.ready(READ)  # what has come but was not taken in yet
+            # Guards against a reset of what waits to be taken in: more than one turn takes may have come.
+            while self.door.take_some():
+                pass
             self.door.close()
         self.log("leaving", sessions=len(self.clients))
         rest = max(self.last - self.loop.now() - ANSWER_RESERVE, 0)
--- a/thymedeck/net/told.py
+++ b/thymedeck/net/told.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import os
+import socket
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -30,7 +31,7 @@
 class Listing(msgspec.Struct):
     version: int
     full: bool = False
-    servers: list[Row] = []
+    servers: list[msgspec.Raw] = []  # of a Row each, looked at one by one
 
 
 class Limits(msgspec.Struct):
@@ -62,6 +63,44 @@
     return host, int(port)
 
 
+LATEST = 1e15  # milliseconds, and MOST_WEIGHT: no server's figure is beyond these
+MOST_WEIGHT = 1e12
+
+decode_row = msgspec.json.Decoder(Row).decode
+
+
+class Named(msgspec.Struct):
+    id: str = ""
+
+
+def name_of(raw: msgspec.Raw) -> str:
+    """The id of an entry that is not usable else, if it can be read."""
+    with contextlib.suppress(msgspec.MsgspecError):
+        return msgspec.json.decode(raw, type=Named).id
+    return ""
+
+
+def usable(raw: msgspec.Raw) -> Row:
+    row = decode_row(raw)
+    if not row.id:
+        raise ValueError("no id")
+    if not (row.started_ms < LATEST and row.weight < MOST_WEIGHT and abs(row.cell) < 1 << 60):
+        raise ValueError("a figure is out of bounds")
+    return row
+
+
+def server_address(text: str) -> tuple[str, int]:
+    """Only figures: guards against a name in the list, which would be looked up while all others wait."""
+    host, port = address(text)
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except OSError:
+        raise ValueError(f"{host!r} is no IPv4 address") from None
+    if not port:
+        raise ValueError("port 0")
+    return host, port
+
+
 def read(path: str) -> Told:
     told = msgspec.json.decode(Path(path).read_bytes(), type=Told)
     if not told.settings.listeners:
