fleetcount follows one id over a folder of logs and counts what single balancers did most of

Need: the fleet test asks to follow one request through every balancer and to count refusals, ends without an answer, calls for the list, dials to cold and to draining servers by balancer and second. The log tells three things more for that: list_asked, left (a client that went before its answer) and the start of a server as the list gives it.

--- /dev/null
+++ b/tests/test_fleetcount.py
@@ -0,0 +1,44 @@
+"""The tool that counts over the logs of a fleet."""
+
+import json
+from pathlib import Path
+
+from tools.fleetcount import followed, read_logs, tables
+
+LOGS = {
+    "n0": [
+        {"time": 10.0, "event": "listed", "server": 0, "id": "s-a", "state": "SERVING", "started_ms": 9000},
+        {"time": 10.1, "event": "came", "sess": 0, "id": "ab12", "key": "k1", "figures": "c=x"},
+        {"time": 10.2, "event": "dial", "sess": 0, "server": 0, "ending": "GIVEN_UP", "sent": True},
+        {"time": 10.3, "event": "answer", "sess": 0, "line": "BUSY"},
+        {"time": 11.0, "event": "started"},
+        {"time": 11.1, "event": "came", "sess": 0, "id": "ff00", "key": "k2", "figures": "c=x"},
+        {"time": 11.2, "event": "left", "sess": 0, "ending": "CLIENT_LEFT"},
+    ],
+    "n1": [
+        {"time": 10.5, "event": "listed", "server": 0, "id": "s-a", "state": "DRAINING", "started_ms": 0},
+        {"time": 10.6, "event": "came", "sess": 7, "id": "cd34", "key": "k1", "figures": "c=x"},
+        {"time": 10.7, "event": "up", "sess": 7, "server": 0, "took": 5},
+    ],
+}  # fmt: skip
+
+
+def events(folder: Path) -> list[dict]:
+    for name, lines in LOGS.items():
+        text = "".join(f"0.000 {json.dumps(line)}\n" for line in lines)
+        (folder / f"{name}.log").write_text(text + '0.1 {"cut off')
+    return read_logs(folder)
+
+
+def test_one_client_is_followed_through_every_balancer(tmp_path: Path) -> None:
+    lines = list(followed(events(tmp_path), "k1"))
+    assert [line.split()[1] for line in lines] == ["n0", "n0", "n0", "n1", "n1"]
+    assert len(list(followed(events(tmp_path), "ab12"))) == 3
+    # The number is given anew after a restart: another session's lines are not taken for it.
+    assert not any("left" in line for line in lines)
+
+
+def test_what_single_balancers_did_is_counted(tmp_path: Path) -> None:
+    lines = list(tables(events(tmp_path), 1.0))
+    counted = {" ".join(line.partition(":")[0].split()[2:]): line.split()[0] for line in lines[-8:]}
+    assert [counted[kind] for kind in ("answer BUSY", "left", "cold", "draining", "fault")] == list("11110")
--- a/thymedeck/net/serverlist.py
+++ b/thymedeck/net/serverlist.py
@@ -132,6 +132,7 @@
         except OSError as why:
             self.failed(str(why))  # no socket is left
             return
+        self.service.log("list_asked", version=self.version, wait=wait // 10)
         self.call.ask(target, host, wait)
 
     def answered(self, call: Call, status: int, body: bytes, again: bool) -> None:
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -297,6 +297,7 @@
             self.session_over(client, ending)
             dial.close()
         elif self.let_go(client.sess) is not None:
+            self.log("left", sess=client.sess, ending=ending.name)
             self.tell(own.SessionLeft(client.sess))
             if dial is not None:
                 dial.finish(ending)
@@ -395,7 +396,7 @@
             entry = own.Entry(index, zone, row.cell, state, started, weight, machine)
             self.servers[index].entry = entry
             entries.append(entry)
-            more = {"zone": row.zone, "machine": row.kind, "state": row.state, "started": started}
+            more = {"zone": row.zone, "machine": row.kind, "state": row.state, "started_ms": row.started_ms}
             self.log("listed", kind=kind.name, server=index, id=row.id, **more)
         if kind is own.ListKind.WHOLE:
             named = {entry.server for entry in entries}
--- a/tools/fleetcount.py
+++ b/tools/fleetcount.py
@@ -1,10 +1,14 @@
 """Counts across a fleet, from the logs of its balancers: what all of them did in each second, by event.
 
-    python tools/fleetcount.py FOLDER [--step SECONDS]
+    python tools/fleetcount.py FOLDER [--step SECONDS] [--cold SECONDS]
+    python tools/fleetcount.py FOLDER --follow ID
 
 FOLDER holds a log for each balancer (`*.log`, one JSON line an event, whatever stands before it). The first
 table has a row for each step, the second the sessions that stand on each server at its end; then come the
-mode lines without their figures.
+mode lines without their figures, and what single balancers did most of. `cold` counts dials that ended or
+stood on a server started less than so long ago, `draining` those on one that this balancer had been told
+drains. With an id (of a client's first line, its beginning is enough) or a session's key: every line that
+any balancer wrote of it.
 """
 
 import argparse
@@ -14,7 +18,12 @@
 from collections.abc import Iterable, Iterator
 from pathlib import Path
 
-COUNTED = ("came", "up", "answer", "silent", "drains", "malformed", "no_sockets", "list_failed", "started")
+COUNTED = (
+    "came", "up", "answer", "left", "silent", "drains", "malformed", "no_sockets", "unanswered", "fault",
+    "list_asked", "list_failed", "bad_entry", "started", "stopping", "stopped", "reloaded",
+)  # fmt: skip
+SINGLED_OUT = ("answer BUSY", "answer ERR", "left", "unanswered", "fault", "list_asked", "cold", "draining")
+COLD = 10.0  # seconds
 
 
 def read_logs(folder: Path) -> list[dict]:
@@ -75,11 +84,49 @@
             self.on = {key: server for key, server in self.on.items() if key[0] != file}
 
 
-def tables(events: list[dict], step: float) -> Iterator[str]:
+class Told:
+    """What each balancer has been told of its servers."""
+
+    def __init__(self, cold: float) -> None:
+        self.cold = cold
+        self.state: dict[tuple[str, int], tuple[str, float]] = {}
+
+    def take(self, event: dict) -> list[str]:
+        """What is to be said of the dial that this event ends."""
+        name = event["event"]
+        if name == "listed":
+            told = event["state"], event.get("started_ms", 0) / 1000
+            self.state[event["file"], event["server"]] = told
+        if name not in ("up", "dial"):
+            return []
+        state, started = self.state.get((event["file"], event["server"]), ("", 0.0))
+        cold = started > 0 and event["time"] - started < self.cold
+        return ["cold"] * cold + ["draining"] * (state not in ("", "SERVING"))
+
+
+def followed(events: Iterable[dict], ident: str) -> Iterator[str]:
+    """Each line of the sessions whose id or key begins so, over all balancers."""
+    held: set[tuple[str, int]] = set()
+    for event in events:
+        if event["event"] == "started":
+            held = {one for one in held if one[0] != event["file"]}
+        if event["event"] == "came":
+            given = event.get("id", ""), event["key"]
+            if any(one.startswith(ident) for one in given):
+                held.add((event["file"], event["sess"]))
+            else:
+                held.discard((event["file"], event["sess"]))  # the number was another's before a restart
+        if (event["file"], event.get("sess")) in held:
+            rest = {key: value for key, value in event.items() if key not in ("time", "balancer", "file")}
+            yield f"{event['time']:.4f} {event['file']:>6} {json.dumps(rest)}"
+
+
+def tables(events: list[dict], step: float, cold: float = COLD) -> Iterator[str]:
     per_step: list[tuple[float, Counter, Counter]] = []
     texts: Counter = Counter()
     balancers: defaultdict[str, set] = defaultdict(set)
-    standing = Standing()
+    standing, told = Standing(), Told(cold)
+    single: defaultdict[str, Counter] = defaultdict(Counter)
     first = events[0]["time"] if events else 0
     for start, rows in steps_of(events, step):
         counted: Counter = Counter()
@@ -87,6 +134,10 @@
             standing.take(event)
             if (kind := kind_of(event)) is not None:
                 counted[kind] += 1
+                single[kind][event["file"]] += 1
+            for kind in told.take(event):
+                counted[kind] += 1
+                single[kind][event["file"]] += 1
             if event["event"] == "mode":
                 text = re.sub(r"[\d.]+", "N", event["text"])
                 texts[text] += 1
@@ -102,14 +153,27 @@
     yield "mode lines, and from how many balancers"
     for text, count in texts.most_common():
         yield f"{count:6} {len(balancers[text]):4}  {text}"
+    yield ""
+    yield "in all, from how many balancers, and the most from one"
+    for kind in SINGLED_OUT:
+        most = single[kind].most_common(3)
+        yield f"{sum(single[kind].values()):6} {len(single[kind]):4}  {kind}: " + ", ".join(
+            f"{file} {count}" for file, count in most
+        )
 
 
 def main() -> None:
     parser = argparse.ArgumentParser(description="Counts across a fleet from its balancers' logs.")
     parser.add_argument("folder", type=Path)
     parser.add_argument("--step", type=float, default=1.0, help="seconds to a row")
+    parser.add_argument(
+        "--cold", type=float, default=COLD, help="seconds that a server is cold from its start"
+    )
+    parser.add_argument("--follow", metavar="ID", help="tell what became of one client's line instead")
     given = parser.parse_args()
-    for line in tables(read_logs(given.folder), given.step):
+    events = read_logs(given.folder)
+    lines = followed(events, given.follow) if given.follow else tables(events, given.step, given.cold)
+    for line in lines:
         print(line)
 
 
