--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -609,12 +609,6 @@
             carries = each.get(server.kind, usual)
             server.ease = usual / carries
             self.kind_parts[server.kind] = self.kind_parts.get(server.kind, 0.0) + carries
-        fair = self.site.promised / max(self.most_listed, 1) / self.site.replicas
-        if self.site.may_probe or not fair or min(self.lacking_young.values(), default=1.0) >= 1:
-            return
-        share = min(1 - fair / usual, 2 * SHARE_STEP)
-        moved = [i for s in settled if not s.young for i in s.standing if self.uniform(0, 1) < share]
-        self.out += [Move(index) for index in moved]
 
     def least(self, sess: Session, ahead: float, passed: set[int]) -> list[Server]:
         """The servers of the best rank that tie for the smallest sum."""
