--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -84,9 +84,7 @@
         self.index = entry.server
         self.list_as(entry)
         self.young = False  # started of late
-        self.ease = (
-            1.0  # what the mean server carries of the own sessions' loads over what one of its kind does
-        )
+        self.ease = 1.0  # what the mean server holds of the own sessions over what one of its kind holds
         self.told = 0.0  # summed load of own standing connections whose load is known
         self.lacking = 0  # own standing connections whose load is not known yet
         self.handicap = 0.0
@@ -127,16 +125,12 @@
         self.silent_until = 0
 
 
-def mean_by_kind(servers: list[Server], figure: Callable[[Server], float]) -> dict[int, float]:
-    """Of a figure, over the servers of each kind of machine."""
-    found: dict[int, list[float]] = {}
+def held_by_kind(servers: list[Server]) -> dict[int, float]:
+    """Own sessions that a server of each kind of machine holds, in the mean."""
+    held: dict[int, list[int]] = {}
     for server in servers:
-        found.setdefault(server.kind, []).append(figure(server))
-    return {kind: sum(each) / len(each) for kind, each in found.items()}
-
-
-def held(server: Server) -> int:
-    return len(server.standing)
+        held.setdefault(server.kind, []).append(len(server.standing))
+    return {kind: sum(each) / len(each) for kind, each in held.items()}
 
 
 class Session:
@@ -594,7 +588,7 @@
         return [c * parts[s.kind] / tied[s.kind] for s, c in zip(ties, chances, strict=True)]
 
     def look_at_kinds(self) -> None:
-        """Ties by sessions, whose loads differ too much, sums by loads; one more is spread over all.
+        """Sessions and not their loads, which differ too much; one more is taken to be spread over all.
 
         What a kind carries is told by servers that have been there for long; newcomers hold less for a while.
         """
@@ -603,20 +597,18 @@
         for server in self.ready:
             server.young = server.started > max(recent, 0)
         settled = [s for s in self.ready if not s.young] or self.ready
-        if not settled:
+        carried = held_by_kind(settled)
+        if not carried:
             return
-        one = 1 / len(settled)
-        each = {kind: count + one for kind, count in mean_by_kind(settled, held).items()}
-        sums = {kind: load + one * self.mean for kind, load in mean_by_kind(settled, self.own_sum).items()}
-        usual = sum(held(s) for s in settled) * one + one
-        usual_sum = self.mean_sum(settled) + one * self.mean
-        young = mean_by_kind([s for s in self.ready if s.young], held)
-        self.lacking_young = {k: min(count / each.get(k, usual), 1.0) for k, count in young.items()}
+        usual = sum(len(s.standing) for s in settled) / len(settled) + 1 / len(settled)
+        each = {kind: held + 1 / len(settled) for kind, held in carried.items()}
+        young = held_by_kind([s for s in self.ready if s.young])
+        self.lacking_young = {k: min(held / each.get(k, usual), 1.0) for k, held in young.items()}
         self.kind_parts = {}
         for server in self.ready:
-            kind = server.kind
-            server.ease = usual_sum / (sums.get(kind, usual_sum) or 1.0)
-            self.kind_parts[kind] = self.kind_parts.get(kind, 0.0) + each.get(kind, usual)
+            carries = each.get(server.kind, usual)
+            server.ease = usual / carries
+            self.kind_parts[server.kind] = self.kind_parts.get(server.kind, 0.0) + carries
 
     def least(self, sess: Session, ahead: float, passed: set[int]) -> list[Server]:
         """The servers of the best rank that tie for the smallest sum."""
