Kinds are drawn first and looked at in one pass, for less processor time

At fault: policy.py look_at_kinds(), six passes over the servers a second, and chances(), three lists over all ties a pick. Change: one pass; the kind is drawn first and only its servers weighed. A change of the list asks for a new look, so that no kind is drawn that was not looked at (tested).

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -190,3 +190,15 @@
             now += 20_000
     # Four of these six level 8 on 20 servers with 10 newcomers; an even draw brings two or three there.
     assert placed[True] / sum(placed) > 0.55, placed
+
+
+def test_a_kind_listed_between_two_looks_is_drawn_too() -> None:
+    """Guards against a fault in the draw: kinds are looked at once a second, lists come at any time."""
+    balancer = Balancer(1, replace(SITE, replicas=200))
+    balancer.handle(0, own.ServerList(own.ListKind.SAVED, of_kinds(4)))
+    balancer.handle(20_000, own.SessionCame(0, 0, 12_000, None, None, False))
+    late = [own.Entry(at, 0, 0, own.State.READY, 0, kind=7) for at in range(4, 40)]
+    balancer.handle(20_001, own.ServerList(own.ListKind.CHANGES, late))
+    came = [own.SessionCame(sess, 0, 12_000, None, None, False) for sess in range(1, 9)]
+    drawn = {balancer.handle(20_002, one)[0].server for one in came}
+    assert max(drawn) >= 4
--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -66,6 +66,7 @@
 LOOK_EVERY = SECOND  # full servers are counted again after this; notes come as often
 RELIEF_PAUSE = 3 * SECOND  # until a report shows what the last moves brought
 LIST_PART = 0.005  # of the time within which the list is to be asked, left to each balancer's call
+LEAST_PULL = 1e-6  # so that ties without newcomers have a chance
 SLOW_RUN = 3  # last set-ups at a server that tell of slow messages where nothing else does
 PLANNED_DIALS = 3  # dials for which the time to the dial timeout is divided
 
@@ -75,8 +76,8 @@
 
     __slots__ = (
         "asked_at", "asking", "cell", "crowded", "delay", "dials_out", "ease", "full_until", "handicap",
-        "handicap_at", "index", "kind", "lacking", "luck", "luck_until", "most", "over", "pressure", "recent",
-        "relieved_at", "sent", "sick", "silent_until", "slow_until", "standing", "started", "state",
+        "handicap_at", "index", "kind", "lacking", "luck", "luck_until", "most", "over", "pressure", "pull",
+        "recent", "relieved_at", "sent", "sick", "silent_until", "slow_until", "standing", "started", "state",
         "told", "told_at_report", "told_until", "trial_at", "trials", "waits", "weight", "young", "zone",
     )  # fmt: skip
 
@@ -84,6 +85,7 @@
         self.index = entry.server
         self.list_as(entry)
         self.young = False  # started of late
+        self.pull = 1.0  # its chance among ties of its kind: less where newcomers lack sessions
         self.ease = 1.0  # what the mean server holds of the own sessions over what one of its kind holds
         self.told = 0.0  # summed load of own standing connections whose load is known
         self.lacking = 0  # own standing connections whose load is not known yet
@@ -125,14 +127,6 @@
         self.silent_until = 0
 
 
-def held_by_kind(servers: list[Server]) -> dict[int, float]:
-    """Own sessions that a server of each kind of machine holds, in the mean."""
-    held: dict[int, list[int]] = {}
-    for server in servers:
-        held.setdefault(server.kind, []).append(len(server.standing))
-    return {kind: sum(each) / len(each) for kind, each in held.items()}
-
-
 class Session:
     __slots__ = (
         "asked", "asked_last", "deadline", "dialled_at", "dials", "erred", "finished", "listener", "load",
@@ -196,7 +190,6 @@
         self.with_room = 0  # servers not known to be full
         self.looked_at = -LOOK_EVERY - 1
         self.kind_parts: dict[int, float] = {}  # what the servers of a kind of machine carry, of own sessions
-        self.lacking_young: dict[int, float] = {}  # by kind, what newcomers hold over what others do
         self.kinds_at = -LOOK_EVERY - 1
         self.crowd_at = -LOG_PAUSE - 1  # last refusal because every server was at its cap
         self.handlers: dict[type, Callable[[Event], None]] = {
@@ -244,6 +237,7 @@
             changed = True
         if changed:
             self.ready = [s for s in self.servers.values() if s.state is State.READY]
+            self.kinds_at = -LOOK_EVERY - 1  # guards against a draw among kinds not looked at yet
             listed = sum(s.state is not State.GONE for s in self.servers.values())
             self.most_listed = max(self.most_listed, listed)
 
@@ -568,24 +562,30 @@
         return None
 
     def draw(self, ties: list[Server]) -> Server:
-        return ties[0] if len(ties) == 1 else self.choices(ties, self.chances(ties))[0]
-
-    def chances(self, ties: list[Server]) -> list[float]:
         """By the list's weights, of each kind of machine by its part, and within it by what newcomers lack.
 
         Guards against many balancers whose sums are zero nearly everywhere, so that all their ties together
         level what is not alike: slow kinds came to hold as many as fast ones, newcomers stayed empty.
         """
-        first = ties[0]
-        if all(s.kind == first.kind and s.young == first.young for s in ties):
-            return [s.weight for s in ties]
-        parts, lacking = self.kind_parts, self.lacking_young
-        wanting = {s.kind: lacking.get(s.kind, 1.0) for s in ties if s.young}
-        chances = [s.weight * (1.0 if s.young else wanting.get(s.kind, 1.0)) for s in ties]
-        tied: dict[int, float] = {}
-        for server, chance in zip(ties, chances, strict=True):
-            tied[server.kind] = tied.get(server.kind, 0.0) + chance
-        return [c * parts[s.kind] / tied[s.kind] for s, c in zip(ties, chances, strict=True)]
+        if len(ties) == 1:
+            return ties[0]
+        if len(self.kind_parts) > 1:
+            tied: dict[int, list[Server]] = {}
+            for server in ties:
+                if server.kind in tied:
+                    tied[server.kind].append(server)
+                else:
+                    tied[server.kind] = [server]
+            ties = tied[self.choices(list(tied), [self.kind_parts[kind] for kind in tied])[0]]
+        return self.choices(ties, [s.weight * s.pull for s in ties])[0]
+
+    def chance_of(self, server: Server, ties: list[Server]) -> float:
+        """That these ties are drawn for it."""
+        parts = self.kind_parts
+        part = parts[server.kind] / sum(parts[kind] for kind in {s.kind for s in ties})
+        return (
+            part * server.weight * server.pull / sum(s.weight * s.pull for s in ties if s.kind == server.kind)
+        )
 
     def look_at_kinds(self) -> None:
         """Sessions and not their loads, which differ too much; one more is taken to be spread over all.
@@ -593,22 +593,24 @@
         What a kind carries is told by servers that have been there for long; newcomers hold less for a while.
         """
         self.kinds_at = self.now
-        recent = self.now - self.site.warm_after - FADE
+        recent = max(self.now - self.site.warm_after - FADE, 0)
+        settled: dict[int, list[int]] = {}  # by kind, what its servers hold
+        young: dict[int, list[int]] = {}
         for server in self.ready:
-            server.young = server.started > max(recent, 0)
-        settled = [s for s in self.ready if not s.young] or self.ready
-        carried = held_by_kind(settled)
-        if not carried:
-            return
-        usual = sum(len(s.standing) for s in settled) / len(settled) + 1 / len(settled)
-        each = {kind: held + 1 / len(settled) for kind, held in carried.items()}
-        young = held_by_kind([s for s in self.ready if s.young])
-        self.lacking_young = {k: min(held / each.get(k, usual), 1.0) for k, held in young.items()}
-        self.kind_parts = {}
+            server.young = server.started > recent
+            (young if server.young else settled).setdefault(server.kind, []).append(len(server.standing))
+        told = settled or young
+        count = sum(map(len, told.values()))
+        usual = (sum(map(sum, told.values())) + 1) / max(count, 1)
+        carries = dict.fromkeys([*settled, *young], usual)
+        carries |= {kind: sum(each) / len(each) + 1 / count for kind, each in told.items()}
+        lack = {kind: min(sum(each) / len(each) / carries[kind], 1.0) for kind, each in young.items()}
+        self.kind_parts = {
+            k: c * (len(settled.get(k, ())) + len(young.get(k, ()))) for k, c in carries.items()
+        }
         for server in self.ready:
-            carries = each.get(server.kind, usual)
-            server.ease = usual / carries
-            self.kind_parts[server.kind] = self.kind_parts.get(server.kind, 0.0) + carries
+            server.ease = usual / carries[server.kind]
+            server.pull = 1.0 if server.young else max(lack.get(server.kind, 1.0), LEAST_PULL)
 
     def least(self, sess: Session, ahead: float, passed: set[int]) -> list[Server]:
         """The servers of the best rank that tie for the smallest sum."""
@@ -713,8 +715,7 @@
         due = len(self.came) * window / max(self.now - self.came[0], 1)
         if self.is_cold(server):
             due = max(due, 1)  # a cold one is safe from any first burst
-        chances = self.chances(among)
-        due *= chances[among.index(server)] / sum(chances)
+        due *= self.chance_of(server, among)
         if self.now >= server.luck_until:
             server.luck = self.uniform(0, 1)
             server.luck_until = self.now + window
