Calls for the list are spread over at most four tenths of the time to ask

At fault: policy.py, list_spread capped at 0.8 of ask_within, which leaves no time for a second call within what the settings state; by the protocol a change counts as told after 6 s in any case. Change: the cap is 0.4 (4 s here, with 2 s for an answer those 6). It binds from 81 balancers on; fewer are as before.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -202,3 +202,15 @@
     came = [own.SessionCame(sess, 0, 12_000, None, None, False) for sess in range(1, 9)]
     drawn = {balancer.handle(20_002, one)[0].server for one in came}
     assert max(drawn) >= 4
+
+
+def test_first_calls_of_many_balancers_leave_time_for_another_within_what_is_stated() -> None:
+    """Guards against balancers that restart together and hear of new servers only as the time to ask ends."""
+    site = replace(SITE, replicas=200, list_on_request=True)
+    waits = []
+    for seed in range(200):
+        out = Balancer(seed, site).handle(0, own.ServerList(own.ListKind.SAVED, [entry(WARM, 0)]))
+        waits += [action.after for action in out if isinstance(action, own.SetTimer)]
+    assert len(waits) == 200
+    assert 0.35 * site.ask_within < max(waits) < 0.42 * site.ask_within
+    assert max(sum(at <= wait < at + 4_000 for wait in waits) for at in range(0, 40_000, 4_000)) < 40
--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -67,6 +67,7 @@
 RELIEF_PAUSE = 3 * SECOND  # until a report shows what the last moves brought
 LIST_PART = 0.005  # of the time within which the list is to be asked, left to each balancer's call
 LEAST_PULL = 1e-6  # so that ties without newcomers have a chance
+MOST_SPREAD = 0.4  # of that time, over all of them: a call that fails then still leaves time for another
 SLOW_RUN = 3  # last set-ups at a server that tell of slow messages where nothing else does
 PLANNED_DIALS = 3  # dials for which the time to the dial timeout is divided
 
@@ -158,7 +159,7 @@
         # A set-up that takes half the shortest handshake target is late: what it needs is filling up.
         self.late_after = min(listener.handshake_target for listener in deployment.listeners) // 2
         # Guards against balancers that ask together and queue up at a list that does not grow with them.
-        self.list_spread = min(LIST_PART * deployment.replicas, 0.8) * deployment.ask_within
+        self.list_spread = min(LIST_PART * deployment.replicas, MOST_SPREAD) * deployment.ask_within
         # Guards against what many balancers try again one by one: together they must let it recover.
         self.try_wait = min(max(TRY_WAIT * deployment.replicas, TRY_WAIT_LEAST), TRY_WAIT_MOST)
         chance = random.Random(seed)
