--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -34,6 +34,7 @@
 from msgspec.structs import replace
 
 from thymedeck import interface as own
+from thymedeck.net.service import Service
 from thymedeck.policy import Balancer
 
 LISTENER = own.Listener(3000, 12000, own.Effect.REPEATABLE, own.Scope.ALL, 50000, 1.0, 500)
@@ -53,6 +54,18 @@
     return float(text) if "." in text else int(text)
 
 
+def service_for_lists() -> Service:
+    """As far as it takes in lists; notes what it logs (`logged`) and tells the decisions (`told`)."""
+    service = object.__new__(Service)
+    service.server_index, service.servers, service.since_unix = {}, [], 5
+    service.zones, service.kinds = {"z": 0}, {"big": 0}
+    service.logged = []
+    service.log = lambda event, **_: service.logged.append(event)
+    service.told = []
+    service.tell = service.told.append
+    return service
+
+
 class Play:
     def __init__(self, path: Path) -> None:
         self.path = path
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests.helpers import service_for_lists
 from thymedeck import interface as own
 from thymedeck.net.clients import AT_ONCE, Door
 from thymedeck.net.loop import Loop
@@ -26,15 +27,7 @@
 
 @pytest.fixture
 def service() -> Service:
-    """As far as lists go."""
-    service = object.__new__(Service)
-    service.server_index, service.servers, service.since_unix = {}, [], 5
-    service.zones, service.kinds = {}, {}
-    service.logged = []
-    service.log = lambda event, **_: service.logged.append(event)
-    service.told = []
-    service.tell = service.told.append
-    return service
+    return service_for_lists()
 
 
 @pytest.mark.parametrize("bad", BAD)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,7 +7,7 @@
 import pytest
 from msgspec.structs import replace
 
-from tests.helpers import SITE
+from tests.helpers import SITE, service_for_lists
 from thymedeck import interface as own
 from thymedeck.net.service import Service
 from thymedeck.net.told import Listing, Row
@@ -108,19 +108,14 @@
 
 def test_a_server_that_comes_back_under_its_id_is_known_by_its_new_address_and_start() -> None:
     """Guards against dials to where it was, and against taking a cold server for the warm one it was."""
-    service = object.__new__(Service)
-    service.server_index, service.servers, service.since_unix = {}, [], 5
-    service.zones, service.kinds = {"z": 0}, {"big": 0}
-    service.log = lambda *_, **__: None
-    told: list[own.ServerList] = []
-    service.tell = told.append
+    service = service_for_lists()
     for address, started_ms in (("127.0.0.1:1", 0), ("127.0.0.2:2", 700), ("nowhere", 900)):
         row = Row(id="s", addr=address, zone="z", kind="big", started_ms=started_ms)
         raw = msgspec.Raw(msgspec.json.encode(row))
         service.take_list(Listing(version=1, full=True, servers=[raw]), own.ListKind.WHOLE)
     assert [known.address for known in service.servers] == [("127.0.0.2", 2)]
-    assert [one.entries[0].started for one in told] == [0, 7_005, 9_005]
-    assert {one.entries[0].kind for one in told} == {0}
+    assert [one.entries[0].started for one in service.told] == [0, 7_005, 9_005]
+    assert {one.entries[0].kind for one in service.told} == {0}
 
 
 FAST, SLOW = 0, 1  # kinds of machine
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -32,13 +32,13 @@
 
 
 @contextlib.contextmanager
-def signals_heard() -> Iterator[tuple[Hearing, Wakeup]]:
+def signals_heard() -> Iterator[Hearing]:
     before = {which: signal.getsignal(which) for which in HANDLED}
     hearing = Hearing()
     wakeup = Wakeup()
     try:
         wakeup.wake(hearing)
-        yield hearing, wakeup
+        yield hearing
     finally:
         os.close(signal.set_wakeup_fd(-1))
         for which, handler in before.items():
@@ -59,12 +59,12 @@
     """There are platforms without Unix sockets, and others where UDP to oneself is taken and never comes."""
     monkeypatch.setattr(socket, "socket", lambda *_, **__: pytest.fail("a socket was asked for"))
     monkeypatch.setattr(socket, "socketpair", lambda *_: pytest.fail("a Unix socket was asked for"))
-    with signals_heard() as (hearing, _):
+    with signals_heard() as hearing:
         hear_both(hearing)
 
 
 def test_signals_are_heard_where_what_wakes_the_loop_is_lost() -> None:
-    with signals_heard() as (hearing, _):
+    with signals_heard() as hearing:
         written = signal.set_wakeup_fd(-1)
         try:
             hear_both(hearing)
--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -79,13 +79,12 @@
         "asked_at", "asking", "cell", "crowded", "delay", "dials_out", "ease", "full_until", "handicap",
         "handicap_at", "index", "kind", "lacking", "luck", "luck_until", "most", "over", "pressure", "pull",
         "recent", "relieved_at", "sent", "sick", "silent_until", "slow_until", "standing", "started", "state",
-        "told", "told_at_report", "told_until", "trial_at", "trials", "waits", "weight", "young", "zone",
+        "told", "told_at_report", "told_until", "trial_at", "trials", "waits", "weight", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Entry) -> None:
         self.index = entry.server
         self.list_as(entry)
-        self.young = False  # started of late
         self.pull = 1.0  # its chance among ties of its kind: less where newcomers lack sessions
         self.ease = 1.0  # what the mean server holds of the own sessions over what one of its kind holds
         self.told = 0.0  # summed load of own standing connections whose load is known
@@ -598,8 +597,8 @@
         settled: dict[int, list[int]] = {}  # by kind, what its servers hold
         young: dict[int, list[int]] = {}
         for server in self.ready:
-            server.young = server.started > recent
-            (young if server.young else settled).setdefault(server.kind, []).append(len(server.standing))
+            among = young if server.started > recent else settled
+            among.setdefault(server.kind, []).append(len(server.standing))
         told = settled or young
         count = sum(map(len, told.values()))
         usual = (sum(map(sum, told.values())) + 1) / max(count, 1)
@@ -611,7 +610,8 @@
         }
         for server in self.ready:
             server.ease = usual / carries[server.kind]
-            server.pull = 1.0 if server.young else max(lack.get(server.kind, 1.0), LEAST_PULL)
+            lacking = 1.0 if server.started > recent else lack.get(server.kind, 1.0)
+            server.pull = max(lacking, LEAST_PULL)
 
     def least(self, sess: Session, ahead: float, passed: set[int]) -> list[Server]:
         """The servers of the best rank that tie for the smallest sum."""
--- a/tools/fleetcount.py
+++ b/tools/fleetcount.py
@@ -108,8 +108,6 @@
     """Each line of the sessions whose id or key begins so, over all balancers."""
     held: set[tuple[str, int]] = set()
     for event in events:
-        if event["event"] == "started":
-            held = {one for one in held if one[0] != event["file"]}
         if event["event"] == "came":
             given = event.get("id", ""), event["key"]
             if any(one.startswith(ident) for one in given):
@@ -132,12 +130,10 @@
         counted: Counter = Counter()
         for event in rows:
             standing.take(event)
-            if (kind := kind_of(event)) is not None:
-                counted[kind] += 1
-                single[kind][event["file"]] += 1
-            for kind in told.take(event):
-                counted[kind] += 1
-                single[kind][event["file"]] += 1
+            for kind in (kind_of(event), *told.take(event)):
+                if kind is not None:
+                    counted[kind] += 1
+                    single[kind][event["file"]] += 1
             if event["event"] == "mode":
                 text = re.sub(r"[\d.]+", "N", event["text"])
                 texts[text] += 1
