--- a/tools/standing.py
+++ b/tools/standing.py
@@ -5,8 +5,8 @@
 python tools/standing.py --seeds            a row for each play instead
 python tools/standing.py --into FILE        put the table of the code as it stands between the marks in FILE
 
-A code is what the deploy file's `policy` and `node` name, by its files' digests: seven figures tell it, `now` is the
-one in the working tree. "To spare" is the share served less the share that the gate wants of that day.
+A code is what the deploy file's `policy` and `node` name, by its files' digests: seven figures tell it, `now`
+is the one in the working tree. "To spare" is the share served less the share that the gate wants of that day.
 """
 
 import argparse
@@ -41,7 +41,6 @@
     rules: dict[str, int] = {}
     files: int = 0
     fair: bool = True
-    by_class: list[list[msgspec.Raw]] = []
 
 
 class Run(msgspec.Struct):
@@ -52,7 +51,6 @@
     node: list[File] = []
     days: list[Day] = []
     figures: dict[str, float | None] = {}
-    why: str | None = None
 
 
 class Play(msgspec.Struct):
@@ -93,7 +91,7 @@
 
 
 def read_plays(journal: Path, ending: str, least_nodes: int) -> list[Play]:
-    """The days whose name ends so, oldest first; small looks, and days played beside other load, do not count."""
+    """The days whose name ends so, oldest first; small looks, and days beside other load, do not count."""
     plays = []
     decode = msgspec.json.Decoder(Run).decode
     for path in sorted(journal.glob("*.json")):
@@ -172,7 +170,9 @@
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--root", type=Path, default=Path(), help="the project's folder")
     parser.add_argument("--days", default="+mass", help="days whose name ends so (default +mass)")
     parser.add_argument("--day", help="one day alone, by its whole name")
