Kinds of machine are weighed by what their set-ups took as well

Checked and ruled out: sessions that stood before come up in 1 ms on either kind; loads told over hints are alike (log medians 0.47 and 0.36); first LOAD lines come as fast.

Change: what set-ups took beyond the quickest as near corrects the parts; three set-ups at what is held count against the last eight.

--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -191,6 +191,8 @@
         self.looked_at = -LOOK_EVERY - 1
         self.kind_parts: dict[int, float] = {}  # what the servers of a kind of machine carry, of own sessions
         self.kinds_at = -LOOK_EVERY - 1
+        self.nearest: dict[bool, int] = {}  # quickest set-up, in the own zone or not
+        self.work: dict[int, deque[tuple[bool, int]]] = {}  # by kind, the last set-ups: own zone or not, took
         self.crowd_at = -LOG_PAUSE - 1  # last refusal because every server was at its cap
         self.handlers: dict[type, Callable[[Event], None]] = {
             ServerList: self.on_list,
@@ -475,6 +477,10 @@
         self.set_up_went(server, True, late=event.took > self.late_after)
         if not self.site.tells_delay:
             self.judge_set_up(server, event.took)
+        if not self.is_cold(server):
+            own = server.zone == self.site.zone
+            self.nearest[own] = min(event.took, self.nearest.get(own, event.took))
+            self.work.setdefault(server.kind, deque(maxlen=RECENT)).append((own, event.took))
         if sess is None:
             return
         self.blame(sess)
@@ -605,6 +611,7 @@
         carries = dict.fromkeys([*settled, *young], usual)
         carries |= {kind: sum(each) / len(each) + 1 / count for kind, each in told.items()}
         lack = {kind: min(sum(each) / len(each) / carries[kind], 1.0) for kind, each in young.items()}
+        self.heed_work(carries, usual)
         self.kind_parts = {
             k: c * (len(settled.get(k, ())) + len(young.get(k, ()))) for k, c in carries.items()
         }
@@ -613,6 +620,18 @@
             lacking = 1.0 if server.started > recent else lack.get(server.kind, 1.0)
             server.pull = max(lacking, LEAST_PULL)
 
+    def heed_work(self, carries: dict[int, float], usual: float) -> None:
+        """Corrects what kinds carry by what their set-ups took beyond the quickest as far, which goes by speed.
+
+        Guards against a fleet filled without regard to speeds, whose parts a few sessions would repeat.
+        """
+        excess = {k: [took - self.nearest[own] for own, took in self.work.get(k, ())] for k in carries}
+        due = sum(len(each) * usual / carries[kind] for kind, each in excess.items())
+        unit = sum(map(sum, excess.values())) / max(due, 1)  # of work, of a kind that carries the usual
+        for kind, each in excess.items() if unit else ():
+            work = sum(each) + SLOW_RUN * unit * usual / carries[kind]
+            carries[kind] = usual * unit * (len(each) + SLOW_RUN) / work
+
     def least(self, sess: Session, ahead: float, passed: set[int]) -> list[Server]:
         """The servers of the best rank that tie for the smallest sum."""
         now = self.now
