--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -621,7 +621,7 @@
             server.pull = max(lacking, LEAST_PULL)
 
     def heed_work(self, carries: dict[int, float], usual: float) -> None:
-        """Corrects what kinds carry by what their set-ups took beyond the quickest as far, which goes by speed.
+        """Corrects what kinds carry by what set-ups took beyond the quickest as far, which goes by speed.
 
         Guards against a fleet filled without regard to speeds, whose parts a few sessions would repeat.
         """
