The median of what set-ups took speaks for a kind, not the mean

Cause: heed_work in policy.py sums what the last eight set-ups of a kind took, so that one slow server among few makes its kind seem slow, and the others of it go unused.

--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -623,14 +623,16 @@
     def heed_work(self, carries: dict[int, float], usual: float) -> None:
         """Corrects what kinds carry by what set-ups took beyond the quickest as far, which goes by speed.
 
-        Guards against a fleet filled without regard to speeds, whose parts a few sessions would repeat.
+        Guards against a fleet filled without regard to speeds, whose parts a few sessions would repeat. The
+        median: guards against one slow server that speaks for its kind.
         """
-        excess = {k: [took - self.nearest[own] for own, took in self.work.get(k, ())] for k in carries}
+        excess = {k: sorted(one - self.nearest[own] for own, one in self.work.get(k, ())) for k in carries}
+        took = {k: len(each) * each[len(each) // 2] if each else 0 for k, each in excess.items()}
         due = sum(len(each) * usual / carries[kind] for kind, each in excess.items())
-        unit = sum(map(sum, excess.values())) / max(due, 1)  # of work, of a kind that carries the usual
-        for kind, each in excess.items() if unit else ():
-            work = sum(each) + SLOW_RUN * unit * usual / carries[kind]
-            carries[kind] = usual * unit * (len(each) + SLOW_RUN) / work
+        unit = sum(took.values()) / max(due, 1)  # of work, of a kind that carries the usual
+        for k, each in excess.items() if unit else ():
+            work = took[k] + SLOW_RUN * unit * usual / carries[k]
+            carries[k] = usual * unit * (len(each) + SLOW_RUN) / work
 
     def least(self, sess: Session, ahead: float, passed: set[int]) -> list[Server]:
         """The servers of the best rank that tie for the smallest sum."""
@@ -830,10 +832,6 @@
             return server.pressure * (carried + others) / (server.told_at_report + others)
         return server.pressure
 
-    def delay_now(self, server: Server) -> int:
-        """What a message takes there as last told, 0 where it is quick or no fresh note tells."""
-        return server.delay if self.now <= server.slow_until else 0
-
     def is_pressed(self, server: Server) -> bool:
         """The load cap: the server says it is nearly full, or its messages are slow."""
         return self.now <= server.slow_until or self.load_now(server) >= CAP
@@ -882,7 +880,8 @@
 
     def is_jammed(self, server: Server) -> bool:
         """So far past its cap that its sessions are served badly whatever else happens."""
-        return self.load_now(server) >= 1 or self.delay_now(server) > self.shortest_aim
+        slow = self.now <= server.slow_until and server.delay > self.shortest_aim
+        return slow or self.load_now(server) >= 1
 
     def judge_set_up(self, server: Server, took: int) -> None:
         """Guards against full servers that nobody tells of: set-ups wait for the same cores as messages.
