After standing still, what waits is read before timers speak, the list first

Cause: a wait in which the process stood still ends with nothing found (its time is over), and Loop.turn in net/loop.py then runs the timers, among them Call.overdue, which drops the call whose answer waits.

Change: if a timer is more than 100 ms late and nothing was found, what is ready is looked for once more before timers run; the list's connection has its turn first; its answer is taken in at once and not by a timer (net/serverlist.py).

--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 from collections.abc import Iterator
+from types import SimpleNamespace
 
 import pytest
 
@@ -81,3 +82,46 @@
         text=True,
     )
     assert told.stdout.strip() == "set()", told.stderr
+
+
+def test_serving_without_peers_knows_nothing_of_them() -> None:
+    told = subprocess.run(
+        [sys.executable, "-c", "import sys, thymedeck.__main__, thymedeck.net.service; print(*sys.modules)"],
+        capture_output=True,
+        text=True,
+    )
+    assert "thymedeck.net.service" in told.stdout, told.stderr
+    assert "thymedeck.peers" not in told.stdout
+
+
+class WokenSelector:
+    """Finds nothing in a wait in which the process stood still, as the system's own does."""
+
+    def __init__(self, now: list[int], ready: list) -> None:
+        self.now = now
+        self.ready = ready
+        self.registered: dict = {}
+
+    def register(self, sock: object, mask: int, data: object) -> None:
+        self.registered[sock] = data
+
+    def select(self, wait: float | None) -> list:
+        if wait:
+            self.now[0] += 80_000
+            return []
+        return [(SimpleNamespace(data=one), 1) for one in self.ready]
+
+
+def test_after_standing_still_what_waits_is_read_before_timers_and_the_list_first() -> None:
+    """Else an answer that has come is taken for missing, and sessions are sent by the old list."""
+    now, order = [1_000], []
+    session = SimpleNamespace(ready=lambda mask: order.append("session"))
+    news = SimpleNamespace(ready=lambda mask: order.append("list"))
+    system = SimpleNamespace(
+        monotonic_ns=lambda: now[0] * 100_000, selector=lambda: WokenSelector(now, [session, news])
+    )
+    loop = Loop(lambda fault: pytest.fail(str(fault)), 64, system)
+    loop.first = news
+    loop.after(20_000, lambda: order.append("timer"))
+    loop.turn()
+    assert order == ["list", "session", "timer"]
--- a/thymedeck/net/loop.py
+++ b/thymedeck/net/loop.py
@@ -10,6 +10,7 @@
 
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
 OWN_DESCRIPTORS = 10  # that the program holds beside connections
+LATE = 1_000  # this process stood still if a timer is so late
 RESERVE = 8  # the part of what it may hold that is kept for dials and for the list
 
 
@@ -41,6 +42,7 @@
         self.count = 0
         self.on_fault = on_fault
         self.running = False
+        self.first: Ready | None = None  # has its turn before all others that are ready
 
     def limit(self, most: int) -> None:
         """How many descriptors the program may hold."""
@@ -79,7 +81,16 @@
             heapq.heappop(timers)
         # A timer is never early: what is left of its tenth is waited for too.
         wait = max(timers[0][0] + 1 - self.now(), 0) / 10_000 if timers else None
-        for key, mask in self.selector.select(wait):
+        found = self.selector.select(wait)
+        if not found and timers and self.now() - timers[0][0] > LATE:
+            # Guards against what waits to be read being taken for missing: a wait in which this process stood
+            # still ends with nothing found.
+            found = self.selector.select(0)
+        if len(found) > 1 and self.first is not None:
+            # Guards against sessions sent by a list that is old where what is new waits to be read, as after
+            # this process stood still.
+            found.sort(key=lambda one: one[0].data is not self.first)
+        for key, mask in found:
             self.guard(key.data.ready, mask)
         now = self.now()
         while timers and timers[0][0] <= now:
--- a/thymedeck/net/serverlist.py
+++ b/thymedeck/net/serverlist.py
@@ -30,6 +30,7 @@
         self.follower = follower
         self.due = self.loop.after(CONNECT_WITHIN, self.overdue)
         self.refused = bool(self.connect(address))
+        loop.first = self
 
     def ask(self, target: str, host: str, wait: int) -> None:
         self.stale_until = 0 if self.connecting else self.loop.now() + STALE_WITHIN
@@ -37,6 +38,7 @@
         self.body = bytearray()
         self.heard = False  # something of the answer has come
         self.complete = False  # the answer is whole; the connection is no longer needed for it
+        self.answer: tuple[int, bytes, bool] | None = None  # not yet given to the follower
         self.due.cancel()
         self.due = self.loop.after(
             wait + (CONNECT_WITHIN if self.connecting else ANSWER_WITHIN), self.overdue
@@ -61,6 +63,11 @@
             self.parser.feed_data(data)
         except httptools.HttpParserError as why:
             self.lost(f"no HTTP: {why}")
+            return
+        if self.answer is not None:
+            # The parser is left before the next call begins.
+            answer, self.answer = self.answer, None
+            self.follower.answered(self, *answer)
 
     def on_body(self, data: bytes) -> None:
         self.body += data
@@ -70,9 +77,11 @@
     def on_message_complete(self) -> None:
         self.due.cancel()
         self.complete = True
-        # The parser is left before the next call begins.
-        status, body, again = self.parser.get_status_code(), bytes(self.body), self.parser.should_keep_alive()
-        self.loop.after(0, lambda: self.follower.answered(self, status, body, again))
+        self.answer = (
+            self.parser.get_status_code(),
+            bytes(self.body),
+            self.parser.should_keep_alive(),
+        )
 
     def on_end(self) -> None:
         self.lost("ended")
