Peers that find one another and tell their counts; a rig that breaks what is between

Sessions that stand on a server are kept in the order in which they came (net/servers.py), so that the same seed gives the same record to the byte.

--- a/thymedeck/__main__.py
+++ b/thymedeck/__main__.py
@@ -18,6 +18,9 @@
     check = commands.add_parser("check", help="read the configuration and say whether it can be used")
     for one in (serve, check):
         one.add_argument("--config", default=os.environ.get("LB_CONFIG"), help="its file (LB_CONFIG)")
+        one.add_argument(
+            "--peers", metavar="FILE", help="settings for peers (docs/peers.md); without it, none"
+        )
     commands.add_parser("version", help="print the version")
     given = parser.parse_args()
     if given.command == "version":
@@ -28,10 +31,19 @@
             raise StartError("no configuration: name its file with --config or LB_CONFIG")
         wakeup = Wakeup() if given.command == "serve" else None
         start = read_start(given.config)
+        join = None
+        if given.peers:
+            from .peers.start import prepared
+
+            join = prepared(given.peers, start)
         if wakeup is None:
             print(f"{given.config}: ok, {len(start.told.settings.listeners)} listeners")
             return 0
-        Service(start, System()).serve(wakeup)
+        system = System()
+        service = Service(start, system)
+        if join:
+            join(service, system)
+        service.serve(wakeup)
     except StartError as why:
         print(f"thymedeck: {why}", file=sys.stderr)
         return 2
--- /dev/null
+++ b/thymedeck/lab/__main__.py
@@ -0,0 +1,50 @@
+"""`python -m thymedeck.lab run SCENARIO [--processes] [--seed N]`: plays it, prints a table of the checks."""
+
+import argparse
+import sys
+
+from ..peers.stated import Unfit
+from .play import Run
+from .scenario import read
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="thymedeck.lab", description="Plays scenarios of whole fleets.")
+    commands = parser.add_subparsers(dest="command", required=True)
+    run = commands.add_parser("run", help="play one scenario; exit 0 if all checks hold, 1 if not")
+    run.add_argument("scenario", help="a file of TOML (docs/lab.md)")
+    run.add_argument("--processes", action="store_true", help="real daemons on loopback, not virtual time")
+    run.add_argument("--seed", type=int, help="instead of the file's")
+    run.add_argument("--record", metavar="FILE", help="keep what the stand-ins saw, a line an entry")
+    given = parser.parse_args()
+    try:
+        scenario = read(given.scenario)
+    except Unfit as why:
+        print(f"thymedeck.lab: {why}", file=sys.stderr)
+        return 2
+    seed = scenario.sheet.seed if given.seed is None else given.seed
+    played = Run(scenario, seed, given.processes)
+
+    def say(text: str) -> None:
+        if sys.stderr.isatty():
+            print(text, file=sys.stderr)
+
+    rows = played.play(say)
+    where = "real processes" if given.processes else "virtual time"
+    print(f"{scenario.sheet.title}: {scenario.sheet.fleet.balancers} balancers in {where}, seed {seed}")
+    if played.agreed_at >= 0:
+        print(f"all agreed on who runs {played.agreed_at / 10_000:.1f} s after the play")
+    print("| check | looked at | wrong |\n| --- | --- | --- |")
+    for row in rows:
+        print(f"| {row.check} | {row.looked_at} | {len(row.wrong)} |")
+    for row in rows:
+        for line in row.wrong[:5]:
+            print(f"  {row.check}: {line}")
+    if given.record:
+        with open(given.record, "wb") as file:
+            file.write(played.stage.record.as_bytes())
+    return 1 if any(row.wrong for row in rows) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/thymedeck/lab/scenario.py
@@ -0,0 +1,168 @@
+"""A play as a file of TOML: who is there, what breaks between them and when, and what is asked of the end.
+
+Decoded strictly. Raises Unfit with one line that names the file, the entry and the reason. Times are figures
+with a unit ("300 ms"), rates too ("20 /s").
+"""
+
+import tomllib
+from pathlib import Path
+from typing import Literal
+
+import msgspec
+
+from ..peers.stated import RATES, TIMES, Unfit, figure
+from .faults import Fault
+
+MOST_BALANCERS = 500
+
+
+class Strict(msgspec.Struct, forbid_unknown_fields=True):
+    pass
+
+
+class Fleet(Strict):
+    balancers: int
+    peers: bool = False
+
+
+class Servers(Strict):
+    count: int
+    kind: str = "m1"
+    zone: str = "a"
+    limit: int = 100_000  # connections
+    work: str = "5 ms"  # for a set-up, one after the other
+
+
+class TheList(Strict):
+    capacity: str = ""  # calls a second; none given: unbounded
+    refusal_cost: float = 0.0  # of a refusal, in parts of an answer's
+    known: bool = True  # the servers are told to balancers at their start
+
+
+class Clients(Strict):
+    rate: str
+    life: str = "10 s"
+    classes: tuple[str, ...] = ("chat",)
+    deadline: str = "2 s"
+
+
+class Broken(Strict):
+    """Between two sides, given as patterns of names: both ways, or only from the first to the second."""
+
+    at: str
+    lasts: str
+    between: tuple[str, str]
+    one_way: bool = False
+    cut: bool = False
+    delay: str = ""
+    spread: str = ""
+    lose: float = 0.0
+    repeat: float = 0.0
+    garble: float = 0.0
+
+
+class Deed(Strict):
+    """Done to each of `who`, given as patterns of names; or to the list."""
+
+    at: str
+    what: Literal[
+        "start", "kill", "stop", "freeze", "wake", "drain", "leave", "silent", "lose answers", "reset lines",
+        "well", "cold", "list down", "list up", "list stale", "list fresh", "list wrong",
+    ]  # fmt: skip
+    who: list[str] = []
+    budget: float = 0.0  # of `cold`: dials in a window, over all balancers
+
+
+class Sheet(Strict):
+    title: str
+    length: str
+    fleet: Fleet
+    seed: int = 1
+    servers: list[Servers] = []
+    list_service: TheList = msgspec.field(default_factory=TheList)
+    clients: list[Clients] = []
+    broken: list[Broken] = []
+    deeds: list[Deed] = []
+    agree_within: str = ""  # at the end: all know all that run, and nobody else
+    grace: str = "2 s"  # for drains
+
+
+class Scenario(msgspec.Struct):
+    sheet: Sheet
+    length: int
+    faults: list[Fault]
+    deeds: list[tuple[int, Deed]]
+    agree_within: int
+    grace: int
+
+
+def read(path: str) -> Scenario:
+    """Raises Unfit."""
+    try:
+        sheet = msgspec.convert(tomllib.loads(Path(path).read_text()), Sheet, strict=True)
+    except OSError as why:
+        raise Unfit(f"{path}: {why.strerror}") from None
+    except (tomllib.TOMLDecodeError, msgspec.MsgspecError, UnicodeDecodeError) as why:
+        raise Unfit(f"{path}: {why}") from None
+    where = ""
+
+    def time(text: str) -> int:
+        return figure(text, TIMES)
+
+    try:
+        where = "length"
+        length = time(sheet.length)
+        where = "fleet"
+        if not 0 < sheet.fleet.balancers <= MOST_BALANCERS:
+            raise ValueError(f"{sheet.fleet.balancers} balancers, 1 to {MOST_BALANCERS} are possible")
+        for at, servers in enumerate(sheet.servers):
+            where = f"servers[{at}]"
+            time(servers.work)
+            if servers.count < 1 or servers.limit < 0:
+                raise ValueError("a count under 1, or a limit below zero")
+        where = "list_service"
+        if sheet.list_service.capacity:
+            figure(sheet.list_service.capacity, RATES)
+        if not 0 <= sheet.list_service.refusal_cost <= 1:
+            raise ValueError("refusal_cost is a part, 0 to 1")
+        for at, clients in enumerate(sheet.clients):
+            where = f"clients[{at}]"
+            figure(clients.rate, RATES)
+            time(clients.life), time(clients.deadline)
+        faults = []
+        for at, one in enumerate(sheet.broken):
+            where = f"broken[{at}]"
+            faults += as_faults(one)
+        deeds = []
+        for at, deed in enumerate(sheet.deeds):
+            where = f"deeds[{at}]"
+            if not deed.who and not deed.what.startswith("list"):
+                raise ValueError(f"{deed.what!r} names nobody")
+            deeds.append((time(deed.at), deed))
+        where = "agree_within"
+        agree = time(sheet.agree_within) if sheet.agree_within else 0
+        where = "grace"
+        grace = time(sheet.grace)
+    except ValueError as why:
+        raise Unfit(f"{path}: {where}: {why}") from None
+    return Scenario(sheet, length, faults, sorted(deeds, key=lambda one: one[0]), agree, grace)
+
+
+def as_faults(one: Broken) -> list[Fault]:
+    if not all(0 <= part <= 1 for part in (one.lose, one.repeat, one.garble)):
+        raise ValueError("lose, repeat and garble are parts, 0 to 1")
+    since = figure(one.at, TIMES)
+    more = {
+        "cut": one.cut,
+        "delay": figure(one.delay, TIMES) if one.delay else 0,
+        "spread": figure(one.spread, TIMES) if one.spread else 0,
+        "lose": one.lose,
+        "repeat": one.repeat,
+        "garble": one.garble,
+    }
+    if not any(more.values()):
+        raise ValueError("nothing is broken")
+    until = since + figure(one.lasts, TIMES)
+    first, second = one.between
+    ways = [(first, second)] if one.one_way else [(first, second), (second, first)]
+    return [Fault(since, until, source, target, **more) for source, target in ways]
--- a/thymedeck/lab/world.py
+++ b/thymedeck/lab/world.py
@@ -7,14 +7,18 @@
 import errno
 import heapq
 import socket
+from collections import deque
 from collections.abc import Callable
+from functools import partial
 from typing import Any, NamedTuple
 
 from ..net.loop import READ, WRITE, Loop
+from .faults import Faults
 
 Address = tuple[str, int]
 BUFFER = 65536  # bytes that wait on one way of a connection before its sender is held back
 START_NS = 1_000_000_000_000
+AGAIN_NS = 50_000_000  # what is held back on a cut way is tried again after this
 
 
 class Key(NamedTuple):
@@ -30,6 +34,10 @@
         self.doors: dict[Address, MemorySocket] = {}
         self.loops: list[Loop] = []
         self.cut: set[str] = set()  # machines that nothing comes from or gets to
+        self.datagrams: dict[Address, MemoryDatagrams] = {}
+        self.faults: Faults | None = None  # between machines, by the names of their hosts
+        self.names: dict[str, str] = {}  # by host
+        self.frozen: set[Loop] = set()  # loops that do not turn; their timers come late
 
     def after(self, wait_ns: int, call: Callable[[], None]) -> None:
         self.count += 1
@@ -38,10 +46,11 @@
     def run(self, for_ns: int) -> None:
         end = self.now_ns + for_ns
         while True:
-            for loop in self.loops:
+            awake = [loop for loop in self.loops if loop not in self.frozen]
+            for loop in awake:
                 while loop.running and (loop.selector.touched or self.timer_ns(loop) <= self.now_ns):
                     loop.turn()
-            times = [self.timer_ns(loop) for loop in self.loops if loop.running]
+            times = [self.timer_ns(loop) for loop in awake if loop.running]
             if self.heap:
                 times.append(self.heap[0][0])
             due = min(times, default=end + 1)
@@ -52,6 +61,13 @@
             while self.heap and self.heap[0][0] <= self.now_ns:
                 heapq.heappop(self.heap)[2]()
 
+    def now(self) -> int:
+        """Tenths of a millisecond since the world began."""
+        return (self.now_ns - START_NS) // 100_000
+
+    def name_of(self, host: str) -> str:
+        return self.names.get(host, host)
+
     @staticmethod
     def timer_ns(loop: Loop) -> int:
         """When the loop's next timer is due, in the loop's own whole tenths of a millisecond."""
@@ -68,6 +84,7 @@
         self.host = host
         self.lines: list[bytes] = []
         self.ports = 40_000
+        self.sockets: dict[MemorySocket, None] = {}  # open ones
 
     def monotonic_ns(self) -> int:
         return self.world.now_ns
@@ -79,15 +96,34 @@
 
     def stream(self) -> "MemorySocket":
         self.ports += 1
-        return MemorySocket(self.world, (self.host, self.ports))
+        return self.own(MemorySocket(self.world, (self.host, self.ports)))
+
+    def own(self, sock: "MemorySocket") -> "MemorySocket":
+        self.sockets[sock] = None
+        sock.machine = self
+        return sock
+
+    def die(self) -> None:
+        """All at once and without a word of its own: what is open is reset, as by the kernel."""
+        for sock in list(self.sockets):
+            sock.reset_on_close = True
+            sock.close()
+        for address in [one for one in self.world.datagrams if one[0] == self.host]:
+            self.world.datagrams[address].close()
 
     def listen(self, address: Address, backlog: int) -> "MemorySocket":
         if address in self.world.doors:
             raise OSError(errno.EADDRINUSE, "address in use")
-        door = self.world.doors[address] = MemorySocket(self.world, address)
+        door = self.world.doors[address] = self.own(MemorySocket(self.world, address))
         door.waiting = []
         return door
 
+    def datagram(self, address: Address) -> "MemoryDatagrams":
+        if address in self.world.datagrams:
+            raise OSError(errno.EADDRINUSE, "address in use")
+        sock = self.world.datagrams[address] = MemoryDatagrams(self.world, address)
+        return sock
+
     def log(self) -> Callable[[bytes], None]:
         return self.lines.append
 
@@ -118,6 +154,58 @@
         return found
 
 
+class MemoryDatagrams:
+    """A socket for datagrams; what nobody takes is lost once so many wait."""
+
+    MOST = 512
+
+    def __init__(self, world: World, name: Address) -> None:
+        self.world = world
+        self.name = name
+        self.selector: MemorySelector | None = None
+        self.inbox: deque[bytes] = deque()
+        self.closed = False
+
+    def can(self) -> int:
+        return READ if self.inbox else 0
+
+    def sendto(self, data: bytes, address: Address) -> int:
+        world = self.world
+        fates = [(0, data)]
+        if world.faults is not None:
+            source, target = world.name_of(self.name[0]), world.name_of(address[0])
+            fates = world.faults.fates(world.now(), source, target, data)
+        for delay, copy in fates:
+            world.after(world.delay_ns + delay * 100_000, partial(self.arrive, address, copy))
+        return len(data)
+
+    def arrive(self, address: Address, data: bytes) -> None:
+        there = self.world.datagrams.get(address)
+        if there is None or self.world.cut & {self.name[0], address[0]} or len(there.inbox) >= self.MOST:
+            return
+        there.inbox.append(data)
+        if there.selector is not None:
+            there.selector.touched = True
+
+    def recv(self, most: int) -> bytes:
+        if not self.inbox:
+            raise BlockingIOError
+        return self.inbox.popleft()[:most]
+
+    def fileno(self) -> int:
+        return -1 if self.closed else 0
+
+    def setblocking(self, blocking: bool) -> None:
+        pass
+
+    def getsockname(self) -> Address:
+        return self.name
+
+    def close(self) -> None:
+        self.closed = True
+        self.world.datagrams.pop(self.name, None)
+
+
 class MemorySocket:
     """One end of a connection, or a listening socket: the calls that the net code makes, and their errors."""
 
@@ -125,6 +213,7 @@
         self.world = world
         self.name = name
         self.selector: MemorySelector | None = None
+        self.machine: Machine | None = None
         self.far: MemorySocket | None = None
         self.waiting: list[MemorySocket] | None = None  # of a listening socket: not yet accepted
         self.inbox = bytearray()
@@ -135,6 +224,7 @@
         self.connecting = False
         self.closed = False
         self.reset_on_close = False
+        self.arrives_ns = 0  # the last of what went out gets there then
 
     def can(self) -> int:
         if self.waiting is not None:
@@ -151,13 +241,26 @@
             self.selector.touched = True
 
     def carry(self, call: Callable[[], None], far: str) -> None:
-        """What this end does reaches the other a way's time later, unless one of the machines is cut off."""
+        """What this end does reaches the other a way's time later, in order, unless the way is cut.
+
+        What a cut by `faults` holds back comes once it has healed, as a stream sends again what is lost.
+        """
+        world = self.world
+        source, target = world.name_of(self.name[0]), world.name_of(far)
 
         def arrive() -> None:
-            if not self.world.cut & {self.name[0], far}:
-                call()
+            if world.cut & {self.name[0], far}:
+                return
+            if world.faults is not None and world.faults.is_cut(world.now(), source, target):
+                world.after(AGAIN_NS, arrive)
+                return
+            call()
 
-        self.world.after(self.world.delay_ns, arrive)
+        wait = world.delay_ns
+        if world.faults is not None:
+            wait += world.faults.delay(world.now(), source, target) * 100_000
+        self.arrives_ns = max(self.arrives_ns, world.now_ns + wait)
+        world.after(self.arrives_ns - world.now_ns, arrive)
 
     def connect_ex(self, address: Address) -> int:
         self.connecting = True
@@ -186,6 +289,8 @@
         if not self.waiting:
             raise BlockingIOError
         near = self.waiting.pop(0)
+        if self.machine is not None:
+            self.machine.own(near)
         return near, near.far.name
 
     def fail(self, error: int) -> None:
@@ -251,8 +356,13 @@
         if self.closed:
             return
         self.closed = True
+        if self.machine is not None:
+            self.machine.sockets.pop(self, None)
         if self.waiting is not None:
             del self.world.doors[self.name]
+            for near in self.waiting:
+                near.reset_on_close = True
+                near.close()
         elif self.far is not None and not self.error:
             far = self.far
             if self.reset_on_close or self.inbox:
--- a/thymedeck/net/servers.py
+++ b/thymedeck/net/servers.py
@@ -28,7 +28,7 @@
         self.delays: deque[int] = deque(maxlen=SAMPLES)
         self.slow = False  # its messages were told to be slow
         self.stopped = False  # lines wait there and none has been answered since
-        self.standing: set[Client] = set()
+        self.standing: dict[Client, None] = {}  # in the order in which they came to stand
 
 
 class Dialled(Connection):
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -6,6 +6,7 @@
 import resource
 import signal
 from collections import deque
+from collections.abc import Callable
 
 import msgspec
 from msgspec.structs import replace
@@ -102,6 +103,7 @@
         self.listeners = {one.name.encode(): at for at, one in enumerate(env.listeners)}
         self.zones = {name: at for at, name in enumerate(env.zones)}
         self.kinds = {name: at for at, name in enumerate(env.kinds)}
+        self.on_reload: list[Callable[[], None]] = []  # what else reads its files again
         self.since_unix = self.loop.now() - system.time_ns() // 100_000
         self.server_index: dict[str, int] = {}
         self.servers: list[Known] = []
@@ -109,6 +111,7 @@
         self.idents: set[bytes] = set()  # of these
         self.loose: dict[Client, None] = {}  # those that no session needs, oldest first
         self.next_sess = 0
+        self.dials = 0  # made since the start, but those of sessions that stood before
         self.events: deque[own.Event] = deque()
         self.telling = False
         self.is_able = False
@@ -245,6 +248,7 @@
         self.tell(own.SessionCame(sess, listener, wait * 10, hint, subject, figures.get(b"mid_flow") == b"1"))
 
     def dial(self, client: Client, server: int, limit: int) -> None:
+        self.dials += 1
         if not self.begin_dial(client, server, self.site.connect_timeout, limit):
             self.tell(own.DialEnded(client.sess, server, OUTCOMES[Ending.NO_SOCKET], False, None))
 
@@ -268,7 +272,7 @@
     def stands(self, dial: Dialled, took: int) -> None:
         client = dial.client
         client.stand(dial)
-        self.servers[dial.server].standing.add(client)
+        self.servers[dial.server].standing[client] = None
         if client.fixed < 0:
             self.log("up", sess=client.sess, server=dial.server, took=took)
             self.tell(own.Established(client.sess, dial.server, took))
@@ -308,7 +312,7 @@
         if self.let_go(client.sess) is None:
             return
         server = client.dial.server
-        self.servers[server].standing.discard(client)
+        self.servers[server].standing.pop(client, None)
         self.log("session", sess=client.sess, server=server, ending=ending.name)
         self.tell(own.DialEnded(client.sess, server, OUTCOMES[ending], True, None))
 
@@ -439,6 +443,8 @@
             self.log("settings_kept")
         self.log("reloaded", discovery="{}:{}".format(*discovery))
         self.follower.turn_to(discovery)
+        for call in self.on_reload:
+            call()
 
     # The end
 
--- a/thymedeck/net/system.py
+++ b/thymedeck/net/system.py
@@ -24,6 +24,16 @@
     def listen(address: tuple[str, int], backlog: int) -> socket.socket:
         return socket.create_server(address, backlog=backlog)
 
+    @staticmethod
+    def datagram(address: tuple[str, int]) -> socket.socket:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            sock.bind(address)
+        except OSError:
+            sock.close()
+            raise
+        return sock
+
     @staticmethod
     def log() -> Callable[[bytes], int]:
         """What takes a line of the log, or raises OSError at once; never waits for a reader."""
--- /dev/null
+++ b/thymedeck/peers/node.py
@@ -0,0 +1,722 @@
+"""Who is there and what they tell: every decision on peers; read it top to bottom.
+
+Make one Peers and call handle(now, event) for whatever happens; carry out the actions it returns. `now` is a
+clock in tenths of a millisecond that never goes back. Nothing is held true for hearsay (docs/peers.md): a
+peer is here once it has sent back what was sent to its address, and gone once it has left this balancer's
+own looks at it, those through others among them, unanswered often enough.
+"""
+
+import random
+from collections import Counter, deque
+from collections.abc import Callable, Sequence
+from math import ceil, log2
+
+from .bounds import SECOND, Seen, Window
+from .ledger import Ledger, Sum
+from .messages import (
+    DIGEST,
+    MOST_RUMOURS,
+    VERSION,
+    Kind,
+    Message,
+    Rumour,
+    Told,
+    encode,
+    short_digest,
+)
+from .stated import Stated, is_address
+from .words import Action, Came, Counted, Event, Leaving, Log, Send, Tick
+
+TICK = SECOND // 10
+LATE = SECOND // 2  # a tick this late: this process stood still
+QUIET = 2 * SECOND  # after that, judgement rests so long
+START_MS = 100  # a process that starts later by this is told from the one before
+STEP = 100_000  # incarnations of one process, of which each refutation takes the next
+REFUTE_EVERY = SECOND
+HELPERS = 3  # that are asked to look for this balancer
+LOOKS = 2  # that fail where others suspect too, and twice as many where none does
+VOICES = 2  # others that suspect, for this to count
+ALIVE_WITHIN = 3 * SECOND  # heard so lately, somebody still has its name
+LOSSES = 16  # looks remembered, for how much is lost on the way
+LOSS_WEIGHT = 12  # more looks that have to fail, for each part of them that was lost
+TRUST = 8  # a voice's last suspicions remembered
+MOST_WRONG = 6  # of them, for it not to be heeded
+HEED_AGAIN = 60 * SECOND
+HEARSAY_LOOKS = 10  # a second
+REMEMBER = 600 * SECOND  # one that is gone is still looked at now and then
+JOIN_EVERY = SECOND
+REJOIN_EVERY = 30 * SECOND  # addresses of the file that none here has
+TRIES = 4  # pings to somebody not known
+COUNTS_LEAST = SECOND  # between two tellings to the same peer
+COUNTS_AGAIN = 10 * SECOND  # what has not changed is told again after this: the last may be lost
+KEPT = 0.3  # of what may be sent, from the own counts, so that looks and answers find room
+KEPT_WHEN_BUSY = 0.6  # the same while there are some to be met, or more than so many to be looked at
+BUSY = 3
+KEPT_FROM_MEETING = 0.4  # and from those questions, for answers to them
+NAMED_BESIDES = 2  # of those here, in a message that has no news to tell
+STALE = SECOND // 2  # what has waited longer is not sent any more
+MOST_WAITING = 512
+MOST_CANDIDATES = 256
+FROM_ONE = 40  # messages a second taken of one peer
+UNKNOWN_PART = 0.4  # of what may be taken in, for those not known
+DAY = 86_400_000  # an incarnation more than a day ahead of the own clock, in milliseconds, is none
+LOG_PAUSE = 10 * SECOND
+NAMED = 3  # peers named in one line of the log
+NONCE = 48  # bits
+
+
+class Peer:
+    """Another balancer, as this one alone knows it."""
+
+    __slots__ = (
+        "address", "began", "due", "failed", "from_it", "gone", "gone_at", "heard_at", "incarnation",
+        "looked_at", "name", "nonce", "seen", "suspect", "through", "token", "told_at", "told_version",
+        "voices",
+    )  # fmt: skip
+
+    def __init__(self, name: str, address: str, incarnation: int, now: int) -> None:
+        self.name = name
+        self.address = address
+        self.incarnation = incarnation
+        self.token = b""  # what it gave us, sent back with every message to it
+        self.seen = Seen()
+        self.from_it = Window(FROM_ONE)
+        self.heard_at = now
+        self.looked_at = now
+        self.gone = False
+        self.gone_at = 0
+        self.suspect = False
+        self.failed = 0  # looks at it that failed, one after the other
+        self.voices: set[str] = set()  # others that suspect it
+        self.nonce = 0  # of the look under way; 0: none
+        self.began = 0
+        self.through = False  # others have been asked in this look
+        self.due = -1  # when a look is wanted; -1: none
+        self.told_at = -COUNTS_AGAIN
+        self.told_version = 0
+
+
+class Candidate:
+    """An address at which somebody is said to be, who has not yet shown to hear there."""
+
+    __slots__ = ("due", "nonce", "tries")
+
+    def __init__(self, due: int) -> None:
+        self.due = due
+        self.nonce = 0
+        self.tries = 0
+
+
+class Asked:
+    """A look that this balancer makes for another."""
+
+    __slots__ = ("by", "name", "nonce", "since")
+
+    def __init__(self, by: str, name: str, nonce: int, since: int) -> None:
+        self.by = by
+        self.name = name
+        self.nonce = nonce
+        self.since = since
+
+
+class Peers:
+    def __init__(self, stated: Stated, name: str, seed: int, now: int, unix_ms: int, expected: int) -> None:
+        """`unix_ms` is the wall clock now; `expected` the balancers of the fleet as far as it is stated."""
+        self.stated = stated
+        self.name = name
+        self.expected = expected
+        self.start = now
+        self.unix_ms = unix_ms
+        self.incarnation = self.incarnation_at(unix_ms)  # a restart comes later and so is told from this
+        self.refuted_at = now - REFUTE_EVERY
+        self.counter = 0
+        chance = random.Random(seed)
+        self.uniform = chance.uniform
+        self.sample = chance.sample
+        self.bits = chance.getrandbits
+        self.secret = chance.randbytes(32)
+        self.now = now
+        self.out: list[Action] = []
+        self.peers: dict[str, Peer] = {}
+        self.names: list[str] = []  # of all peers known, to draw from
+        self.looking: dict[str, Peer] = {}  # those at which a look is under way, or wanted
+        self.telling: deque[Peer] = deque()  # in the order in which they are told the own counts next
+        self.candidates: dict[str, Candidate] = {}  # by address
+        self.ledger = Ledger(stated.forget_after)
+        self.rumours: dict[
+            str, tuple[Rumour, int]
+        ] = {}  # by whom they are of, and how often still to be told
+        self.asked: dict[int, Asked] = {}
+        self.suspicions: dict[str, deque[bool]] = {}  # by voice, the last ones: whether they were wrong
+        self.unheeded: dict[str, int] = {}  # voices, and until when
+        self.hearsay = Window(HEARSAY_LOOKS)
+        self.lost: deque[bool] = deque(maxlen=LOSSES)
+        self.waiting: deque[tuple[int, str, Kind, bytes, dict]] = deque()
+        self.sent = Window(stated.send_most)
+        self.unknown = Window(max(int(stated.take_most * UNKNOWN_PART), 1))
+        self.ticked_at = now
+        self.quiet_until = now
+        self.probe_at = now + int(self.uniform(0, stated.period))
+        self.join_at = now
+        self.rejoin_at = now + REJOIN_EVERY
+        self.draining = False
+        self.came: list[str] = []  # and the next: since the last line of the log
+        self.went: list[str] = []
+        self.said_at = now
+        self.logged: dict[str, int] = {}
+        self.counted: Counter[str] = Counter()  # what counted for nothing, and why
+        self.handlers: dict[type, Callable[[Event], None]] = {
+            Tick: self.on_tick,
+            Came: self.on_came,
+            Counted: self.on_counted,
+            Leaving: self.on_leaving,
+        }
+
+    def handle(self, now: int, event: Event) -> list[Action]:
+        self.now = now
+        self.out = []
+        self.handlers[type(event)](event)
+        self.flush()
+        return self.out
+
+    def here(self) -> list[Peer]:
+        """Those that are held to be there, suspected ones among them."""
+        return [peer for peer in self.peers.values() if not peer.gone]
+
+    def sum(self, now: int) -> Sum:
+        """Of the whole fleet, with the part of it that is covered and the age of the oldest entry."""
+        return self.ledger.sum(now, max(self.expected, 1 + len(self.here())))
+
+    def unix_now(self) -> int:
+        return self.unix_ms + (self.now - self.start) // 10
+
+    @staticmethod
+    def incarnation_at(unix_ms: int) -> int:
+        return max(unix_ms // START_MS, 1) * STEP
+
+    # What is sent
+
+    def token_for(self, address: str) -> bytes:
+        """Only who hears under this address can send it back; nothing is kept for it."""
+        return short_digest(self.secret, address.encode())
+
+    def send(self, to: str, kind: Kind, token: bytes, **more: object) -> None:
+        if len(self.waiting) >= MOST_WAITING:
+            self.waiting.popleft()
+            self.count("no room to send")
+        self.waiting.append((self.now, to, kind, token, more))
+
+    def flush(self) -> None:
+        """Answers first, in order; what they and looks leave of a second's bytes goes to the own counts."""
+        while self.waiting:
+            since, address, kind, token, more = self.waiting[0]
+            if self.now - since > STALE:
+                self.waiting.popleft()
+                self.count("sent too late")
+                continue
+            if not self.dispatch(address, kind, token, more, self.sent.left(self.now)):
+                return
+            self.waiting.popleft()
+        self.tell_counts()
+
+    def dispatch(self, address: str, kind: Kind, token: bytes, more: dict, room: int) -> bool:
+        """Whether there was room for it; rumours go along in what is left of the datagram's usual size."""
+        message = Message(VERSION, kind, self.name, self.incarnation, self.counter + 1, token=token, **more)
+        size = DIGEST + len(encode(message))
+        if size > room:
+            return False
+        self.counter += 1
+        size += self.add_rumours(message, min(room - size, max(200 - size, 60)))
+        self.sent.take(self.now, size)
+        self.out.append(Send(address, message))
+        return True
+
+    def ask(self, address: str, kind: Kind, token: bytes, more: dict, keep: float = 0.0) -> bool:
+        """Whether it went out. Never before the answers that wait, and never late: a look begins with it."""
+        room = self.sent.left(self.now) - int(keep * self.stated.send_most)
+        return not self.waiting and self.dispatch(address, kind, token, more, room)
+
+    def add_rumours(self, message: Message, room: int) -> int:
+        """The bytes added. Each is told a few times by everybody who found it to be so, which reaches all.
+
+        Some that are here are named besides, by chance: guards against two that missed each other's arrival.
+        """
+        added = 0
+        for name, (rumour, times) in list(self.rumours.items())[-MOST_RUMOURS:]:
+            size = len(encode(rumour))
+            if added + size + 2 > room:
+                break
+            message.rumours = [*message.rumours, rumour]
+            added += size + 2 * (not added)
+            del self.rumours[name]
+            if times > 1:
+                self.rumours[name] = (rumour, times - 1)
+        for name in (
+            self.sample(self.names, min(NAMED_BESIDES, len(self.names))) if not message.rumours else ()
+        ):
+            peer = self.peers[name]
+            rumour = Rumour(Told.HERE, name, peer.incarnation, peer.address)
+            size = len(encode(rumour))
+            if not (peer.gone or peer.suspect) and added + size + 2 <= room:
+                message.rumours = [*message.rumours, rumour]
+                added += size + 2 * (not added)
+        return added
+
+    def spread(self, told: Told, name: str, incarnation: int, address: str = "") -> None:
+        self.rumours.pop(name, None)
+        times = 4 + 2 * ceil(log2(2 + len(self.peers)))
+        self.rumours[name] = (Rumour(told, name, incarnation, address), times)
+
+    def ping(self, address: str, token: bytes, nonce: int, target: str = "", keep: float = 0.0) -> bool:
+        more = {"given": self.token_for(address), "address": self.stated.advertise}
+        return self.ask(address, Kind.PING, token, more | {"nonce": nonce, "target": target}, keep)
+
+    def tell_counts(self) -> None:
+        """To each peer itself, those that wait for longest first: nobody tells another's counts."""
+        own = self.ledger.own
+        if own is None:
+            return
+        busy = self.candidates or len(self.looking) > BUSY
+        keep = int(self.stated.send_most * (KEPT_WHEN_BUSY if busy else KEPT))
+        while self.telling:
+            peer = self.telling[0]
+            if peer.gone or self.peers.get(peer.name) is not peer:
+                self.telling.popleft()
+                continue
+            # Who comes after it was told later, of a version no older.
+            wait = COUNTS_LEAST if peer.told_version < own.version else COUNTS_AGAIN
+            room = self.sent.left(self.now) - keep
+            if self.now - peer.told_at < wait or not self.dispatch(
+                peer.address, Kind.COUNTS, peer.token, {"counts": own}, room
+            ):
+                return
+            peer.told_at = self.now
+            peer.told_version = own.version
+            self.telling.rotate(-1)
+
+    # What comes
+
+    def on_came(self, event: Came) -> None:
+        message = event.message
+        name = message.name
+        if name == self.name:
+            if message.address not in ("", self.stated.advertise):
+                self.log(f"another balancer calls itself {name} too, at {message.address}", "name")
+            self.count("own name")
+            return
+        if message.incarnation > self.incarnation_at(self.unix_now() + DAY):
+            self.count("from the future")
+            return
+        peer = self.peers.get(name)
+        if peer is None or not self.is_same(peer, message):
+            self.introduce(peer, message)
+            return
+        if message.incarnation < peer.incarnation:
+            # Of the process before; or of a new one whose clock went back: it hears so, and takes a later.
+            self.count("old incarnation")
+            if message.incarnation // STEP < peer.incarnation // STEP:
+                self.unproved(message, [Rumour(Told.GONE, name, peer.incarnation)])
+            return
+        if message.token != self.token_for(peer.address):
+            self.unproved(message)
+            return
+        if not peer.from_it.take(self.now, 1):
+            self.count("too many")
+            return
+        if not peer.seen.is_new(message.counter):
+            self.count("repeated")
+            return
+        peer.incarnation = message.incarnation
+        if message.given:
+            peer.token = message.given
+        self.heard(peer)
+        if message.kind == Kind.PING:
+            self.answer(peer, message)
+        elif message.kind == Kind.ACK:
+            self.on_ack(peer, message)
+        elif message.kind == Kind.ASK:
+            self.look_for(peer, message)
+        elif message.kind == Kind.PROOF:
+            self.on_proof(message)
+        elif message.counts is not None:
+            self.ledger.take(self.now, name, peer.incarnation, message.counts)
+        for rumour in message.rumours:
+            self.hear(rumour, peer)
+
+    @staticmethod
+    def is_same(peer: Peer, message: Message) -> bool:
+        """Of the process that is known under this name, or of one before it."""
+        moved = message.address not in ("", peer.address)
+        return not moved and message.incarnation // STEP <= peer.incarnation // STEP
+
+    def introduce(self, known: Peer | None, message: Message) -> None:
+        """Somebody new: nobody yet, a later process under a known name, or another address under it."""
+        address = message.address
+        if not is_address(address):
+            self.count("no proof")
+            return
+        candidate = self.candidates.get(address)
+        if (
+            message.kind == Kind.ACK
+            and candidate is not None
+            and candidate.nonce == message.nonce
+            and message.nonce
+            and message.token == self.token_for(address)
+        ):
+            del self.candidates[address]
+            if peer := self.admit(known, message):
+                self.on_ack(peer, message)
+                for rumour in message.rumours:
+                    self.hear(rumour, peer)
+            return
+        if message.kind != Kind.PING:
+            self.count("no proof")
+            return
+        self.unproved(message)
+
+    def unproved(self, message: Message, rumours: Sequence[Rumour] = ()) -> None:
+        """Answers a ping of somebody yet to show that it hears under its address, and asks for that."""
+        address = message.address
+        if message.kind != Kind.PING or not is_address(address) or not self.unknown.take(self.now, 1):
+            self.count("no proof")
+            return
+        question = 0
+        if candidate := self.candidate(address, self.now + 2 * self.stated.answer_within):
+            question = candidate.nonce = candidate.nonce or self.bits(NONCE) + 1
+        more = {"given": self.token_for(address), "address": self.stated.advertise, "rumours": list(rumours)}
+        self.send(address, Kind.ACK, message.given, nonce=message.nonce, question=question, **more)
+
+    def candidate(self, address: str, due: int) -> Candidate | None:
+        """None where there is no room for one more."""
+        found = self.candidates.get(address)
+        if found is None and address != self.stated.advertise and len(self.candidates) < MOST_CANDIDATES:
+            found = self.candidates[address] = Candidate(due)
+        return found
+
+    def admit(self, known: Peer | None, message: Message) -> Peer | None:
+        """It hears under its address. None where the name is somebody else's, or there is no room."""
+        name, address = message.name, message.address
+        if known is not None and not known.gone and known.address != address:
+            if self.now - known.heard_at > ALIVE_WITHIN:
+                self.want_look(known)  # whoever had the name may be gone; the newcomer comes again
+                return None
+            if known.incarnation < message.incarnation:
+                self.log(
+                    f"two balancers call themselves {name}: {known.address} and {address}; the first counts",
+                    "two",
+                )
+                self.spread(Told.HERE, name, known.incarnation, known.address)
+                return None
+        if known is None and len(self.peers) >= self.stated.peers_most and not self.make_room():
+            self.log(f"no room for more than {self.stated.peers_most} peers: {name} is left out", "room")
+            return None
+        self.looking.pop(name, None)
+        peer = self.peers[name] = Peer(name, address, message.incarnation, self.now)
+        self.ledger.drop(name)
+        peer.seen.is_new(message.counter)
+        peer.token = message.given
+        self.telling.appendleft(peer)
+        if known is None:
+            self.names.append(name)
+        if known is None or known.gone:
+            self.came.append(name)
+        self.spread(Told.HERE, name, peer.incarnation, address)
+        return peer
+
+    def make_room(self) -> bool:
+        """The one that has been gone for longest is forgotten."""
+        gone = [peer for peer in self.peers.values() if peer.gone]
+        if gone:
+            self.forget(min(gone, key=lambda peer: peer.gone_at))
+        return bool(gone)
+
+    def forget(self, peer: Peer) -> None:
+        del self.peers[peer.name]
+        self.names.remove(peer.name)
+        self.looking.pop(peer.name, None)
+        self.suspicions.pop(peer.name, None)
+        self.unheeded.pop(peer.name, None)
+
+    def answer(self, peer: Peer, message: Message) -> None:
+        more: dict[str, object] = {"nonce": message.nonce, "given": self.token_for(peer.address)}
+        if message.target:
+            # For somebody else: proves to it, and not to who asks, that this balancer was reached.
+            by = self.peers.get(message.target)
+            if by is None or not by.token:
+                return
+            more["proof"] = short_digest(by.token, message.nonce.to_bytes(8))
+        self.send(peer.address, Kind.ACK, peer.token, **more)
+
+    def on_ack(self, peer: Peer, message: Message) -> None:
+        if message.question:
+            more = {"given": self.token_for(peer.address), "address": self.stated.advertise}
+            self.send(peer.address, Kind.ACK, peer.token, nonce=message.question, **more)
+        if message.nonce and message.nonce == peer.nonce:
+            self.lost.append(peer.through)
+            peer.nonce = 0
+        asked = self.asked.pop(message.nonce, None)
+        if asked is not None and asked.name == peer.name and message.proof:
+            by = self.peers.get(asked.by)
+            if by is not None:
+                self.send(
+                    by.address,
+                    Kind.PROOF,
+                    by.token,
+                    nonce=asked.nonce,
+                    target=asked.name,
+                    proof=message.proof,
+                )
+
+    def look_for(self, by: Peer, message: Message) -> None:
+        peer = self.peers.get(message.target)
+        if peer is None or peer is by or len(self.asked) >= MOST_WAITING:
+            return
+        self.asked[message.nonce] = Asked(by.name, peer.name, message.nonce, self.now)
+        self.ping(peer.address, peer.token, message.nonce, target=by.name)
+
+    def on_proof(self, message: Message) -> None:
+        peer = self.peers.get(message.target)
+        if peer is None or not message.nonce or message.nonce != peer.nonce:
+            return
+        right = short_digest(self.token_for(peer.address), message.nonce.to_bytes(8))
+        if message.proof != right:
+            self.count("no proof")
+            return
+        self.lost.append(True)
+        peer.nonce = 0
+        self.heard(peer)
+
+    # What is said of others
+
+    def hear(self, rumour: Rumour, by: Peer) -> None:
+        """Looks into it; it goes on to others only if this balancer finds it to be so."""
+        if rumour.name == self.name:
+            self.hear_of_self(rumour, by)
+            return
+        peer = self.peers.get(rumour.name)
+        if rumour.told == Told.HERE:
+            # One of the two asks, the other only if that has not come about.
+            wait = int(self.uniform(0, SECOND / 5)) + (0 if self.name < rumour.name else SECOND)
+            if peer is None or rumour.incarnation // STEP > peer.incarnation // STEP:
+                if is_address(rumour.address):
+                    self.candidate(rumour.address, self.now + wait)
+            elif peer.gone and peer.due < 0 and not peer.nonce:
+                peer.due = self.now + wait
+                self.looking[rumour.name] = peer
+            return
+        if peer is None or peer.gone or rumour.incarnation < peer.incarnation:
+            return
+        if self.now < self.unheeded.get(by.name, 0):
+            self.count("not heeded")
+            return
+        peer.voices.add(by.name)
+        if not peer.nonce and peer.due < 0 and self.hearsay.take(self.now, 1):
+            self.want_look(peer)
+
+    def want_look(self, peer: Peer) -> None:
+        peer.due = self.now + int(self.uniform(0, self.stated.answer_within / 2))
+        self.looking[peer.name] = peer
+
+    def hear_of_self(self, rumour: Rumour, by: Peer) -> None:
+        if rumour.told == Told.HERE:
+            if rumour.address != self.stated.advertise:
+                self.log(
+                    f"the name {self.name} is taken by {rumour.address}; this balancer is not counted", "name"
+                )
+            return
+        if self.now - self.refuted_at < REFUTE_EVERY:
+            return
+        self.refuted_at = self.now
+        if self.incarnation <= rumour.incarnation < self.incarnation_at(self.unix_now() + DAY // 2):
+            later = rumour.incarnation // STEP > self.incarnation // STEP  # of a process before, by its clock
+            self.incarnation = (rumour.incarnation // STEP + 1) * STEP if later else rumour.incarnation + 1
+            self.spread(Told.HERE, self.name, self.incarnation, self.stated.advertise)
+        self.ping(by.address, by.token, 0)
+
+    def heard(self, peer: Peer) -> None:
+        """It has shown that it is there: whoever suspected it was wrong."""
+        peer.heard_at = self.now
+        peer.failed = 0
+        if peer.gone:
+            peer.gone = False
+            peer.told_version = 0
+            self.telling.appendleft(peer)
+            self.came.append(peer.name)
+            self.spread(Told.HERE, peer.name, peer.incarnation, peer.address)
+        elif peer.suspect:
+            self.spread(Told.HERE, peer.name, peer.incarnation, peer.address)
+        if peer.voices:
+            self.judge(peer, wrong=True)
+        peer.suspect = False
+        self.candidates.pop(peer.address, None)
+
+    def judge(self, peer: Peer, wrong: bool) -> None:
+        """Guards against one that calls everybody dead: it is not heeded for a while."""
+        for voice in peer.voices:
+            last = self.suspicions.setdefault(voice, deque(maxlen=TRUST))
+            last.append(wrong)
+            if sum(last) >= MOST_WRONG:
+                last.clear()
+                self.unheeded[voice] = self.now + HEED_AGAIN
+                self.log(f"peer {voice} is not heeded for a minute: {MOST_WRONG} wrong suspicions", "heed")
+        peer.voices.clear()
+
+    # Looks
+
+    def on_tick(self, event: Tick) -> None:
+        late = self.now - self.ticked_at - TICK
+        self.ticked_at = self.now
+        if late > LATE:
+            self.stood_still(late)
+        for name, peer in list(self.looking.items()):
+            if peer.nonce:
+                self.look_on(peer)
+            if 0 <= peer.due <= self.now and not peer.nonce:
+                self.look(peer)
+            if not peer.nonce and peer.due < 0:
+                del self.looking[name]
+        if self.now >= self.probe_at:
+            self.probe_at = self.now + self.stated.period
+            self.probe()
+        self.meet()
+        for nonce in [nonce for nonce, one in self.asked.items() if self.now - one.since > 2 * SECOND]:
+            del self.asked[nonce]
+        self.ledger.drop_old(self.now)
+        self.say_who()
+
+    def stood_still(self, late: int) -> None:
+        """Guards against calling others dead for the time in which this process did not run."""
+        self.quiet_until = self.now + QUIET
+        for peer in self.looking.values():
+            peer.nonce = 0
+            peer.due = -1
+            peer.failed = 0
+        self.asked.clear()
+        self.log(f"late by {late / SECOND:.1f} s; judgement of peers rests for {QUIET // SECOND} s", "late")
+
+    def probe(self) -> None:
+        """One that is here, and one that is gone, each the one not heard of or looked at for longest."""
+        for peer in [one for one in self.peers.values() if one.gone and self.now - one.gone_at > REMEMBER]:
+            self.forget(peer)
+        for gone in (False, True):
+            among = [
+                peer for peer in self.peers.values() if peer.gone is gone and not peer.nonce and peer.due < 0
+            ]
+            if among:
+                self.look(min(among, key=lambda peer: max(peer.heard_at, peer.looked_at)))
+
+    def look(self, peer: Peer) -> None:
+        nonce = self.bits(NONCE) + 1
+        if not self.ping(peer.address, peer.token, nonce):
+            self.want_look(peer)
+            return
+        peer.due = -1
+        peer.nonce = nonce
+        peer.began = peer.looked_at = self.now
+        peer.through = False
+        self.looking[peer.name] = peer
+
+    def look_on(self, peer: Peer) -> None:
+        waited = self.now - peer.began
+        within = self.stated.answer_within
+        if waited < within:
+            return
+        if peer.gone:
+            peer.nonce = 0
+        elif waited >= 2 * within:
+            self.look_failed(peer)
+        elif not peer.through and not peer.failed % 2:
+            others = [
+                one
+                for one in self.peers.values()
+                if not (one.gone or one.suspect or one is peer) and one.token
+            ]
+            more = {"nonce": peer.nonce, "target": peer.name}
+            for helper in self.sample(others, min(HELPERS, len(others))):
+                peer.through |= self.ask(helper.address, Kind.ASK, helper.token, more)
+            if others and not peer.through:
+                # Nobody could be asked for want of room: this look tells nothing.
+                peer.nonce = 0
+                self.want_look(peer)
+
+    def look_failed(self, peer: Peer) -> None:
+        peer.nonce = 0
+        if self.now < self.quiet_until:
+            return
+        peer.failed += 1
+        if not peer.suspect:
+            peer.suspect = True
+            self.spread(Told.SUSPECT, peer.name, peer.incarnation)
+        others = sum(not (one.gone or one.suspect) for one in self.peers.values())
+        agreed = others and len(peer.voices) >= min(VOICES, others)
+        wanted = (LOOKS if agreed else 2 * LOOKS) + int(LOSS_WEIGHT * sum(self.lost) / LOSSES)
+        if peer.failed < wanted:
+            self.want_look(peer)
+            return
+        peer.gone = True
+        peer.gone_at = self.now
+        self.judge(peer, wrong=False)
+        self.ledger.drop(peer.name)
+        self.went.append(peer.name)
+        self.spread(Told.GONE, peer.name, peer.incarnation)
+
+    # Those not met yet
+
+    def meet(self) -> None:
+        if self.now >= self.join_at:
+            self.join_at = self.now + JOIN_EVERY
+            again = self.now >= self.rejoin_at
+            if again:
+                self.rejoin_at = self.now + REJOIN_EVERY
+            if again or not self.here():
+                known = {peer.address for peer in self.here()}
+                away = [one for one in self.stated.join if one not in known and one != self.stated.advertise]
+                # One at a time: guards against a fleet that starts together and drowns the first of the list.
+                for address in self.sample(away, min(len(away), 1)):
+                    self.candidate(address, self.now)
+        for address, one in list(self.candidates.items()):
+            if one.due > self.now:
+                continue
+            if one.tries >= TRIES:
+                del self.candidates[address]
+                continue
+            one.nonce = one.nonce or self.bits(NONCE) + 1
+            if not self.ping(address, b"", one.nonce, keep=KEPT_FROM_MEETING):
+                return
+            one.tries += 1
+            one.due = self.now + int(self.uniform(1, 2) * self.stated.period)
+
+    # The rest
+
+    def on_counted(self, event: Counted) -> None:
+        event.counts.draining = event.counts.draining or self.draining
+        self.ledger.note_own(self.now, event.counts)
+
+    def on_leaving(self, event: Leaving) -> None:
+        self.draining = True
+        self.spread(Told.GONE, self.name, self.incarnation)
+
+    def say_who(self) -> None:
+        """One line a second at the most, however many came or went."""
+        if self.now - self.said_at < SECOND or not (self.came or self.went):
+            return
+        self.said_at = self.now
+        parts = [f"peers: {len(self.here())} here"]
+        parts += [
+            f"{what} {listed(names)}" for what, names in (("came", self.came), ("gone", self.went)) if names
+        ]
+        self.out.append(Log("; ".join(parts)))
+        self.came, self.went = [], []
+
+    def count(self, what: str) -> None:
+        self.counted[what] += 1
+
+    def log(self, text: str, kind: str) -> None:
+        if self.now - self.logged.get(kind, -LOG_PAUSE) >= LOG_PAUSE:
+            self.logged[kind] = self.now
+            self.out.append(Log(text))
+
+
+def listed(names: list[str]) -> str:
+    more = len(names) - NAMED
+    return ", ".join(names[:NAMED]) + (f" and {more} more" if more > 0 else "")
--- /dev/null
+++ b/thymedeck/peers/start.py
@@ -0,0 +1,33 @@
+"""How `serve --peers FILE` and `check --peers FILE` begin: the unfit is told before anything is opened."""
+
+from collections.abc import Callable
+from functools import partial
+from typing import TYPE_CHECKING
+
+from ..net.system import System
+from ..net.told import Start, StartError
+from .carrier import Carrier
+from .messages import is_name
+from .stated import Stated, Unfit, read
+
+if TYPE_CHECKING:
+    from ..net.service import Service
+
+
+def prepared(path: str, start: Start) -> Callable[["Service", System], None]:
+    """Raises StartError with one line."""
+    if not start.told.settings.limits.peers:
+        raise StartError(f"{path}: the settings of this deployment forbid peers")
+    if not is_name(start.told.name):
+        raise StartError(f"{path}: {start.told.name!r} is no name for a peer")
+    try:
+        stated = read(path)
+    except Unfit as why:
+        raise StartError(str(why)) from None
+    return partial(join, stated, start)
+
+
+def join(stated: Stated, start: Start, service: "Service", system: System) -> None:
+    carrier = Carrier(service, stated, system, start.told.name, start.seed)
+    service.on_reload.append(carrier.reload_keys)
+    service.log("peers_on", listen="{}:{}".format(*carrier.sock.getsockname()), fleet=stated.fleet)
--- a/thymedeck/stated.py
+++ b/thymedeck/stated.py
@@ -41,6 +41,7 @@
     probes: bool = False
     retry_after: bool = False
     max_retry_after_us: int = 0
+    peers: bool = True  # whether balancers may talk to one another
 
 
 class Contract(Struct):
