--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -15,6 +15,7 @@
 from thymedeck.peers.ledger import Ledger
 from thymedeck.peers.messages import (
     LARGEST,
+    LATEST,
     VERSION,
     Counts,
     Envelope,
@@ -26,6 +27,7 @@
     encode,
 )
 from thymedeck.peers.node import STEP, Peers
+from thymedeck.peers.words import Counted
 
 SIZE = 8
 
@@ -390,6 +392,22 @@
         caught_by()
 
 
+def test_the_fullest_counts_fit_one_datagram_and_nothing_is_left_out() -> None:
+    talk = met(2)
+    node = talk.node(0)
+    many = [(1 << 31, 10**6 + at) for at in range(140)]
+    kinds = [("k" * 64 + str(at), 10**9) for at in range(9)]
+    for peer in node.peers.values():
+        peer.name = "n" * 64
+    node.ledger.own = None
+    talk.tell(address(0), node, Counted(Counts(1, kinds, list(many), dials=10**6, list_version=10**6)))
+    own = node.ledger.own
+    assert own.beyond + sum(count for _, count in own.by_server) == sum(count for _, count in many)
+    node.name = "n" * 64
+    message = Message(VERSION, Kind.COUNTS, node.name, LATEST - 1, LATEST - 1, token=bytes(8), counts=own)
+    assert len(talk.envelopes[address(0)].close(message)) <= LARGEST
+
+
 def test_the_same_seed_gives_the_same_play() -> None:
     def played() -> list:
         talk = Talk(6, 5)
--- a/thymedeck/__main__.py
+++ b/thymedeck/__main__.py
@@ -8,7 +8,7 @@
 from .net.system import System
 from .net.told import StartError, read_start
 
-VERSION = "0.5.0"
+VERSION = "0.6.0"
 
 
 def main() -> int:
--- a/thymedeck/lab/__main__.py
+++ b/thymedeck/lab/__main__.py
@@ -1,9 +1,11 @@
-"""`python -m thymedeck.lab run SCENARIO [--processes] [--seed N]`: plays it, prints a table of the checks."""
+"""`python -m thymedeck.lab`: `run` plays a scenario and prints what the checks saw, `peers` measures."""
 
 import argparse
 import sys
 
 from ..peers.stated import Unfit
+from . import talk
+from .measure import measure_processes
 from .play import Run
 from .scenario import read
 
@@ -16,7 +18,33 @@
     run.add_argument("--processes", action="store_true", help="real daemons on loopback, not virtual time")
     run.add_argument("--seed", type=int, help="instead of the file's")
     run.add_argument("--record", metavar="FILE", help="keep what the stand-ins saw, a line an entry")
+    peers = commands.add_parser("peers", help="measure peers in virtual time, as docs/peers.md shows it")
+    peers.add_argument("--balancers", type=int, nargs="+", default=[8, 40])
+    peers.add_argument("--seed", type=int, default=1)
+    peers.add_argument(
+        "--quiet", type=float, default=60.0, help="seconds of nothing, 5 %% and 20 %% lost, each"
+    )
+    peers.add_argument("--processes", action="store_true", help="real daemons on loopback, with and without")
     given = parser.parse_args()
+    if given.command == "peers" and given.processes:
+        for size in given.balancers:
+            print("\n".join(measure_processes(size, given.seed, round(given.quiet * talk.SECOND))))
+        return 0
+    if given.command == "peers":
+        return measure_peers(given.balancers, given.seed, given.quiet)
+    return run_scenario(given)
+
+
+def measure_peers(sizes: list[int], seed: int, quiet: float) -> int:
+    """A row as soon as a size is measured."""
+    print("| " + " | ".join(talk.HEADS) + " |\n" + "| --- " * len(talk.HEADS) + "|")
+    for size in sizes:
+        figures = talk.measure(size, seed, round(quiet * talk.SECOND))
+        print("| " + " | ".join(talk.row(figures)) + " |", flush=True)
+    return 0
+
+
+def run_scenario(given: argparse.Namespace) -> int:
     try:
         scenario = read(given.scenario)
     except Unfit as why:
--- a/thymedeck/lab/talk.py
+++ b/thymedeck/lab/talk.py
@@ -267,6 +267,30 @@
     core: float  # part of one that each takes, nothing amiss
 
 
+HEADS = (
+    "balancers", "all met", "a join known to all", "a death known to half", "to all", "agreed after a cut",
+    "gone falsely, 0 / 5 / 20 % lost", "sum off (median)", "oldest entry (median)", "covered (least)",
+    "B/s each", "most in a second", "datagrams/s", "of a core",
+)  # fmt: skip
+
+
+def row(figures: Figures) -> list[str]:
+    """For HEADS; "-" where it did not come about."""
+    times = (figures.met, figures.join, figures.death_half, figures.death_all, figures.heal)
+    return [
+        str(figures.balancers),
+        *(f"{one:.1f}" if one >= 0 else "-" for one in times),
+        f"{figures.false_calm} / {figures.false_lossy} / {figures.false_very}",
+        f"{figures.error:.3f}",
+        f"{figures.oldest:.1f}",
+        f"{figures.covered:.2f}",
+        f"{figures.bytes_mean:.0f}",
+        str(figures.bytes_most),
+        f"{figures.datagrams:.1f}",
+        f"{figures.core:.4f}",
+    ]
+
+
 def measure(balancers: int, seed: int, quiet: int) -> Figures:
     """`quiet`: how long each of the three kinds of loss is watched."""
     talk = Talk(balancers, seed)
--- a/thymedeck/peers/node.py
+++ b/thymedeck/peers/node.py
@@ -47,6 +47,8 @@
 JOIN_EVERY = SECOND
 REJOIN_EVERY = 30 * SECOND  # addresses of the file that none here has
 TRIES = 4  # pings to somebody not known
+MOST_KINDS = 4  # of machine, told of
+LARGEST_COUNTS = 900  # bytes, which leaves room for the longest names beside
 COUNTS_LEAST = SECOND  # between two tellings to the same peer
 COUNTS_AGAIN = 10 * SECOND  # what has not changed is told again after this: the last may be lost
 KEPT = 0.3  # of what may be sent, from the own counts, so that looks and answers find room
@@ -689,8 +691,13 @@
     # The rest
 
     def on_counted(self, event: Counted) -> None:
-        event.counts.draining = event.counts.draining or self.draining
-        self.ledger.note_own(self.now, event.counts)
+        counts = event.counts
+        counts.draining = counts.draining or self.draining
+        counts.by_kind = counts.by_kind[:MOST_KINDS]
+        while counts.by_server and len(encode(counts)) > LARGEST_COUNTS:
+            # Guards against a datagram too large to be taken: who holds least is counted without a name.
+            counts.beyond += counts.by_server.pop()[1]
+        self.ledger.note_own(self.now, counts)
 
     def on_leaving(self, event: Leaving) -> None:
         self.draining = True
