--- a/tools/standing.py
+++ b/tools/standing.py
@@ -3,7 +3,8 @@
 python tools/standing.py                    all that was played, one row for each day and code
 python tools/standing.py --code now         only what was played on the code as it stands
 python tools/standing.py --seeds            a row for each play instead
-python tools/standing.py --into FILE        put the table of the code as it stands between the marks in FILE
+python tools/standing.py --last 3           only the three codes played last
+python tools/standing.py --into FILE        put that table (of three, or as said) between the marks in FILE
 
 A code is what the deploy file's `policy` and `node` name, by its files' digests: seven figures tell it, `now`
 is the one in the working tree. "To spare" is the share served less the share that the gate wants of that day.
@@ -179,13 +180,18 @@
     parser.add_argument("--nodes", type=int, default=150, help="days of fewer balancers are looks (150)")
     parser.add_argument("--code", help="only this code, or `now`")
     parser.add_argument("--seeds", action="store_true", help="a row for each play")
-    parser.add_argument("--into", type=Path, help="file whose marked part becomes the table, of `now` alone")
+    parser.add_argument("--last", type=int, help="only the codes that were played last, so many")
+    parser.add_argument("--into", type=Path, help="file whose marked part becomes the table")
     given = parser.parse_args()
     now = code_now(given.root)
-    code = "now" if given.into else given.code
+    code = given.code
     plays = read_plays(given.root / "journal", given.day or given.days, given.nodes)
     plays = [p for p in plays if code is None or p.code == (now if code == "now" else code)]
     plays = [p for p in plays if given.day is None or p.day.name == given.day]
+    last = given.last or (3 if given.into and code is None else 0)
+    if last:
+        latest = list(dict.fromkeys(play.code for play in reversed(plays)))[:last]
+        plays = [p for p in plays if p.code in latest]
     if not plays:
         print("the journal holds no such play", file=sys.stderr)
         return 1
