--- a/thymedeck/peers/node.py
+++ b/thymedeck/peers/node.py
@@ -45,14 +45,17 @@
 HEARSAY_LOOKS = 10  # a second
 REMEMBER = 600 * SECOND  # one that is gone is still looked at now and then
 JOIN_EVERY = SECOND
+EAGER = 10 * SECOND  # after the start: those of the list not met yet are asked as if nobody was here
 REJOIN_EVERY = 30 * SECOND  # addresses of the file that none here has
 TRIES = 4  # pings to somebody not known
+USUAL = 200  # bytes of a datagram, up to which rumours go along
+FEW = 50  # bytes of rumours, whatever the datagram's size
 MOST_KINDS = 4  # of machine, told of
 LARGEST_COUNTS = 900  # bytes, which leaves room for the longest names beside
 COUNTS_LEAST = SECOND  # between two tellings to the same peer
 COUNTS_AGAIN = 10 * SECOND  # what has not changed is told again after this: the last may be lost
 KEPT = 0.3  # of what may be sent, from the own counts, so that looks and answers find room
-KEPT_WHEN_BUSY = 0.6  # the same while there are some to be met, or more than so many to be looked at
+KEPT_WHEN_BUSY = 0.85  # the same while there are some to be met, or more than so many to be looked at
 BUSY = 3
 KEPT_FROM_MEETING = 0.4  # and from those questions, for answers to them
 NAMED_BESIDES = 2  # of those here, in a message that has no news to tell
@@ -228,7 +231,7 @@
         if size > room:
             return False
         self.counter += 1
-        size += self.add_rumours(message, min(room - size, max(200 - size, 60)))
+        size += self.add_rumours(message, min(room - size, FEW if self.is_busy() else max(USUAL - size, FEW)))
         self.sent.take(self.now, size)
         self.out.append(Send(address, message))
         return True
@@ -238,6 +241,9 @@
         room = self.sent.left(self.now) - int(keep * self.stated.send_most)
         return not self.waiting and self.dispatch(address, kind, token, more, room)
 
+    def is_busy(self) -> bool:
+        return bool(self.candidates) or len(self.looking) > BUSY
+
     def add_rumours(self, message: Message, room: int) -> int:
         """The bytes added. Each is told a few times by everybody who found it to be so, which reaches all.
 
@@ -278,8 +284,7 @@
         own = self.ledger.own
         if own is None:
             return
-        busy = self.candidates or len(self.looking) > BUSY
-        keep = int(self.stated.send_most * (KEPT_WHEN_BUSY if busy else KEPT))
+        keep = int(self.stated.send_most * (KEPT_WHEN_BUSY if self.is_busy() else KEPT))
         while self.telling:
             peer = self.telling[0]
             if peer.gone or self.peers.get(peer.name) is not peer:
@@ -358,14 +363,15 @@
             self.count("no proof")
             return
         candidate = self.candidates.get(address)
+        there = known if known and known.address == address else None
+        asked = {one.nonce for one in (candidate, there) if one}
         if (
             message.kind == Kind.ACK
-            and candidate is not None
-            and candidate.nonce == message.nonce
             and message.nonce
+            and message.nonce in asked
             and message.token == self.token_for(address)
         ):
-            del self.candidates[address]
+            self.candidates.pop(address, None)
             if peer := self.admit(known, message):
                 self.on_ack(peer, message)
                 for rumour in message.rumours:
@@ -497,14 +503,11 @@
             return
         peer = self.peers.get(rumour.name)
         if rumour.told == Told.HERE:
-            # One of the two asks, the other only if that has not come about.
-            wait = int(self.uniform(0, SECOND / 5)) + (0 if self.name < rumour.name else SECOND)
             if peer is None or rumour.incarnation // STEP > peer.incarnation // STEP:
                 if is_address(rumour.address):
-                    self.candidate(rumour.address, self.now + wait)
-            elif peer.gone and peer.due < 0 and not peer.nonce:
-                peer.due = self.now + wait
-                self.looking[rumour.name] = peer
+                    self.candidate(rumour.address, self.now + self.turn_of(rumour.name))
+            elif peer.gone:
+                self.look_again(peer)
             return
         if peer is None or peer.gone or rumour.incarnation < peer.incarnation:
             return
@@ -515,6 +518,15 @@
         if not peer.nonce and peer.due < 0 and self.hearsay.take(self.now, 1):
             self.want_look(peer)
 
+    def turn_of(self, name: str) -> int:
+        """One of the two asks, the other only if that has not come about."""
+        return int(self.uniform(0, SECOND / 2)) + (0 if self.name < name else SECOND)
+
+    def look_again(self, peer: Peer) -> None:
+        if peer.due < 0 and not peer.nonce:
+            peer.due = self.now + self.turn_of(peer.name)
+            self.looking[peer.name] = peer
+
     def want_look(self, peer: Peer) -> None:
         peer.due = self.now + int(self.uniform(0, self.stated.answer_within / 2))
         self.looking[peer.name] = peer
@@ -545,8 +557,10 @@
             self.telling.appendleft(peer)
             self.came.append(peer.name)
             self.spread(Told.HERE, peer.name, peer.incarnation, peer.address)
-        elif peer.suspect:
-            self.spread(Told.HERE, peer.name, peer.incarnation, peer.address)
+            # What has healed for one may have for others.
+            for other in self.peers.values():
+                if other.gone:
+                    self.look_again(other)
         if peer.voices:
             self.judge(peer, wrong=True)
         peer.suspect = False
@@ -604,7 +618,8 @@
             among = [
                 peer for peer in self.peers.values() if peer.gone is gone and not peer.nonce and peer.due < 0
             ]
-            if among:
+            # All together look at one that is gone about once a period, or what comes back drowns.
+            if among and (not gone or self.uniform(0, len(self.peers)) < len(among)):
                 self.look(min(among, key=lambda peer: max(peer.heard_at, peer.looked_at)))
 
     def look(self, peer: Peer) -> None:
@@ -627,7 +642,8 @@
             peer.nonce = 0
         elif waited >= 2 * within:
             self.look_failed(peer)
-        elif not peer.through and not peer.failed % 2:
+        elif not peer.through and not peer.failed % 2 and len(self.looking) <= BUSY:
+            # Guards against a fleet cut in two that spends all it may send on questions about the other half.
             others = [
                 one
                 for one in self.peers.values()
@@ -670,7 +686,8 @@
             again = self.now >= self.rejoin_at
             if again:
                 self.rejoin_at = self.now + REJOIN_EVERY
-            if again or not self.here():
+            # Guards against a fleet that starts as two, each round another address of the list.
+            if again or self.now - self.start < EAGER or not self.here():
                 known = {peer.address for peer in self.here()}
                 away = [one for one in self.stated.join if one not in known and one != self.stated.advertise]
                 # One at a time: guards against a fleet that starts together and drowns the first of the list.
