--- a/thymedeck/peers/carrier.py
+++ b/thymedeck/peers/carrier.py
@@ -12,7 +12,7 @@
 from .messages import LARGEST, Counts, Envelope, Unusable, server_key
 from .node import TICK, Peers
 from .stated import Stated, Unfit, read_keys
-from .words import Action, Came, Counted, Event, Leaving, Log, Send, Tick
+from .words import Action, Came, Counted, Deaf, Event, Leaving, Log, Send, Tick
 
 if TYPE_CHECKING:
     from ..net.service import Service
@@ -71,6 +71,7 @@
                 self.loop.watch(self.sock, READ, 0, self)
                 self.loop.after(FULL_PAUSE, self.read_again)
                 self.unusable["flood"] += 1
+                self.tell(Deaf())
                 return
             try:
                 data = self.sock.recv(LARGEST + 1)
--- a/thymedeck/peers/node.py
+++ b/thymedeck/peers/node.py
@@ -25,7 +25,7 @@
     short_digest,
 )
 from .stated import Stated, is_address
-from .words import Action, Came, Counted, Event, Leaving, Log, Send, Tick
+from .words import Action, Came, Counted, Deaf, Event, Leaving, Log, Send, Tick
 
 TICK = SECOND // 10
 LATE = SECOND // 2  # a tick this late: this process stood still
@@ -175,6 +175,7 @@
             Came: self.on_came,
             Counted: self.on_counted,
             Leaving: self.on_leaving,
+            Deaf: self.on_deaf,
         }
 
     def handle(self, now: int, event: Event) -> list[Action]:
@@ -610,6 +611,11 @@
         self.asked.clear()
         self.log(f"late by {late / SECOND:.1f} s; judgement of peers rests for {QUIET // SECOND} s", "late")
 
+    def on_deaf(self, event: Deaf) -> None:
+        """Guards against calling others dead for answers lost in a flood."""
+        self.quiet_until = self.now + QUIET
+        self.log(f"flooded; judgement of peers rests until {QUIET // SECOND} s after", "deaf")
+
     def probe(self) -> None:
         """One that is here, and one that is gone, each the one not heard of or looked at for longest."""
         for peer in [one for one in self.peers.values() if one.gone and self.now - one.gone_at > REMEMBER]:
--- a/thymedeck/peers/words.py
+++ b/thymedeck/peers/words.py
@@ -28,7 +28,11 @@
     """This balancer was told to stop."""
 
 
-Event = Tick | Came | Counted | Leaving
+class Deaf(Struct):
+    """More came than may be looked at: what the peers sent may be among what was not read."""
+
+
+Event = Tick | Came | Counted | Leaving | Deaf
 
 # Actions
 
