Peers: hearsay is spread over the fleet's size and taken back by a refutation

Seen (virtual time, 100 balancers, halves cut for 10 s): three peers were drowned by looks of all others after the cut had healed (450 PINGs and 155 ACKs a second, 532 answers too late in 2 s), so that suspicions never ended; 40 balancers took 6.4 s to agree and a newcomer was known to all after 10 s, as all looked at it each second. Cause: node.py let everybody look at once for any suspicion, and at each that is gone in every period; one peer can answer about twenty looks a second.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -366,7 +366,7 @@
         test_nobody_changes_what_another_has_told,
     ),
     "hearsay kills": (
-        lambda patch: patch.setattr(Peers, "want_look", lambda node, peer: node.look_failed(peer)),
+        lambda patch: patch.setattr(Peers, "want_look", lambda node, peer, spread=0: node.look_failed(peer)),
         test_one_with_the_key_that_calls_all_others_dead_does_no_harm,
     ),
     "no rest after standing still": (
--- a/thymedeck/peers/node.py
+++ b/thymedeck/peers/node.py
@@ -43,12 +43,17 @@
 MOST_WRONG = 6  # of them, for it not to be heeded
 HEED_AGAIN = 60 * SECOND
 HEARSAY_LOOKS = 10  # a second
+HEARSAY_SPREAD = SECOND // 60  # for each peer: one that is well can answer about twenty in a second
+MEET_SPREAD = SECOND // 20  # the same for those who want to meet somebody new
+AGAIN_SPREAD = SECOND // 200  # the same between looks of one that failed
 REMEMBER = 600 * SECOND  # one that is gone is still looked at now and then
 JOIN_EVERY = SECOND
 EAGER = 10 * SECOND  # after the start: those of the list not met yet are asked as if nobody was here
 REJOIN_EVERY = 30 * SECOND  # addresses of the file that none here has
 TRIES = 4  # pings to somebody not known
 USUAL = 200  # bytes of a datagram, up to which rumours go along
+TOLD = 3  # times that each tells a rumour: more than one that hears it looks, and tells it too
+SUSPECT_TOLD = 2  # the same of a suspicion, times the fleet's logarithm: few have it, and all wait for it
 FEW = 50  # bytes of rumours, whatever the datagram's size
 MOST_KINDS = 4  # of machine, told of
 LARGEST_COUNTS = 900  # bytes, which leaves room for the longest names beside
@@ -60,6 +65,7 @@
 KEPT_FROM_MEETING = 0.4  # and from those questions, for answers to them
 NAMED_BESIDES = 2  # of those here, in a message that has no news to tell
 STALE = SECOND // 2  # what has waited longer is not sent any more
+STALE_QUESTION = 3 * SECOND  # the same of an answer that asks back, which nobody's look waits for
 MOST_WAITING = 512
 MOST_CANDIDATES = 256
 FROM_ONE = 40  # messages a second taken of one peer
@@ -75,8 +81,8 @@
 
     __slots__ = (
         "address", "began", "due", "failed", "from_it", "gone", "gone_at", "heard_at", "incarnation",
-        "looked_at", "name", "nonce", "seen", "suspect", "through", "token", "told_at", "told_version",
-        "voices",
+        "looked_at", "name", "nonce", "refuted", "seen", "suspect", "through", "token", "told_at",
+        "told_version", "voices",
     )  # fmt: skip
 
     def __init__(self, name: str, address: str, incarnation: int, now: int) -> None:
@@ -97,6 +103,7 @@
         self.began = 0
         self.through = False  # others have been asked in this look
         self.due = -1  # when a look is wanted; -1: none
+        self.refuted = 0  # the incarnation in which it is said to have refuted a suspicion
         self.told_at = -COUNTS_AGAIN
         self.told_version = 0
 
@@ -216,7 +223,7 @@
         """Answers first, in order; what they and looks leave of a second's bytes goes to the own counts."""
         while self.waiting:
             since, address, kind, token, more = self.waiting[0]
-            if self.now - since > STALE:
+            if self.now - since > (STALE if not more.get("question") else STALE_QUESTION):
                 self.waiting.popleft()
                 self.count("sent too late")
                 continue
@@ -246,12 +253,12 @@
         return bool(self.candidates) or len(self.looking) > BUSY
 
     def add_rumours(self, message: Message, room: int) -> int:
-        """The bytes added. Each is told a few times by everybody who found it to be so, which reaches all.
+        """The bytes added. Newest first; each is told a few times by all who found it to be so.
 
         Some that are here are named besides, by chance: guards against two that missed each other's arrival.
         """
         added = 0
-        for name, (rumour, times) in list(self.rumours.items())[-MOST_RUMOURS:]:
+        for name, (rumour, times) in list(self.rumours.items())[: -MOST_RUMOURS - 1 : -1]:
             size = len(encode(rumour))
             if added + size + 2 > room:
                 break
@@ -273,7 +280,7 @@
 
     def spread(self, told: Told, name: str, incarnation: int, address: str = "") -> None:
         self.rumours.pop(name, None)
-        times = 4 + 2 * ceil(log2(2 + len(self.peers)))
+        times = SUSPECT_TOLD * ceil(log2(2 + len(self.peers))) if told == Told.SUSPECT else TOLD
         self.rumours[name] = (Rumour(told, name, incarnation, address), times)
 
     def ping(self, address: str, token: bytes, nonce: int, target: str = "", keep: float = 0.0) -> bool:
@@ -506,18 +513,26 @@
         if rumour.told == Told.HERE:
             if peer is None or rumour.incarnation // STEP > peer.incarnation // STEP:
                 if is_address(rumour.address):
-                    self.candidate(rumour.address, self.now + self.turn_of(rumour.name))
+                    spread = int(self.uniform(0, len(self.peers) * MEET_SPREAD))
+                    self.candidate(rumour.address, self.now + self.turn_of(rumour.name) + spread)
             elif peer.gone:
                 self.look_again(peer)
+            elif rumour.incarnation > max(peer.refuted, peer.incarnation):
+                # Hearsay against hearsay: guards against a fleet that drowns one that is well with looks.
+                peer.refuted = rumour.incarnation
+                self.spread(Told.HERE, peer.name, rumour.incarnation, peer.address)
+                if not peer.suspect:
+                    peer.voices.clear()
+                    peer.due = -1
             return
-        if peer is None or peer.gone or rumour.incarnation < peer.incarnation:
+        if peer is None or peer.gone or rumour.incarnation < max(peer.incarnation, peer.refuted):
             return
         if self.now < self.unheeded.get(by.name, 0):
             self.count("not heeded")
             return
         peer.voices.add(by.name)
         if not peer.nonce and peer.due < 0 and self.hearsay.take(self.now, 1):
-            self.want_look(peer)
+            self.want_look(peer, len(self.peers) * HEARSAY_SPREAD)
 
     def turn_of(self, name: str) -> int:
         """One of the two asks, the other only if that has not come about."""
@@ -528,8 +543,8 @@
             peer.due = self.now + self.turn_of(peer.name)
             self.looking[peer.name] = peer
 
-    def want_look(self, peer: Peer) -> None:
-        peer.due = self.now + int(self.uniform(0, self.stated.answer_within / 2))
+    def want_look(self, peer: Peer, spread: int = 0) -> None:
+        peer.due = self.now + int(self.uniform(0, self.stated.answer_within / 2 + spread))
         self.looking[peer.name] = peer
 
     def hear_of_self(self, rumour: Rumour, by: Peer) -> None:
@@ -546,7 +561,6 @@
             later = rumour.incarnation // STEP > self.incarnation // STEP  # of a process before, by its clock
             self.incarnation = (rumour.incarnation // STEP + 1) * STEP if later else rumour.incarnation + 1
             self.spread(Told.HERE, self.name, self.incarnation, self.stated.advertise)
-        self.ping(by.address, by.token, 0)
 
     def heard(self, peer: Peer) -> None:
         """It has shown that it is there: whoever suspected it was wrong."""
@@ -675,7 +689,7 @@
         agreed = others and len(peer.voices) >= min(VOICES, others)
         wanted = (LOOKS if agreed else 2 * LOOKS) + int(LOSS_WEIGHT * sum(self.lost) / LOSSES)
         if peer.failed < wanted:
-            self.want_look(peer)
+            self.want_look(peer, len(self.peers) * AGAIN_SPREAD)
             return
         peer.gone = True
         peer.gone_at = self.now
@@ -709,7 +723,9 @@
             if not self.ping(address, b"", one.nonce, keep=KEPT_FROM_MEETING):
                 return
             one.tries += 1
-            one.due = self.now + int(self.uniform(1, 2) * self.stated.period)
+            one.due = self.now + int(
+                self.uniform(1, 2) * (self.stated.period + len(self.peers) * MEET_SPREAD)
+            )
 
     # The rest
 
