--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -7,6 +7,7 @@
 
 from thymedeck.lab import checks
 from thymedeck.lab.__main__ import main
+from thymedeck.lab.measure import here
 from thymedeck.lab.play import Run, settings
 from thymedeck.lab.scenario import read
 from thymedeck.lab.stage import KEY, SECOND, Guest, Processes
@@ -42,14 +43,6 @@
     assert records[0] == records[1] != records[2]
 
 
-def here(stage: Processes, name: str) -> int:
-    """As its log told last."""
-    lines = [
-        entry["text"] for entry in stage.log(name) if entry["event"] == "peers" and "here" in entry["text"]
-    ]
-    return int(lines[-1].split()[1]) if lines else 0
-
-
 def called_gone(stage: Processes, names: list[str]) -> list[str]:
     return [
         entry["text"]
--- a/thymedeck/lab/scenario.py
+++ b/thymedeck/lab/scenario.py
@@ -4,13 +4,11 @@
 with a unit ("300 ms"), rates too ("20 /s").
 """
 
-import tomllib
-from pathlib import Path
 from typing import Literal
 
 import msgspec
 
-from ..peers.stated import RATES, TIMES, Unfit, figure
+from ..peers.stated import RATES, TIMES, Unfit, figure, sheet_of
 from .faults import Fault
 
 MOST_BALANCERS = 500
@@ -98,12 +96,7 @@
 
 def read(path: str) -> Scenario:
     """Raises Unfit."""
-    try:
-        sheet = msgspec.convert(tomllib.loads(Path(path).read_text()), Sheet, strict=True)
-    except OSError as why:
-        raise Unfit(f"{path}: {why.strerror}") from None
-    except (tomllib.TOMLDecodeError, msgspec.MsgspecError, UnicodeDecodeError) as why:
-        raise Unfit(f"{path}: {why}") from None
+    sheet: Sheet = sheet_of(path, Sheet)
     where = ""
 
     def time(text: str) -> int:
--- a/thymedeck/peers/stated.py
+++ b/thymedeck/peers/stated.py
@@ -74,15 +74,20 @@
     return value
 
 
-def read(path: str) -> Stated:
-    """Raises Unfit."""
+def sheet_of(path: str, kind: type[Any]) -> Any:  # noqa: ANN401
+    """A file of TOML as this struct. Raises Unfit with one line."""
     try:
-        sheet = msgspec.convert(tomllib.loads(Path(path).read_text()), Sheet, strict=True)
+        return msgspec.convert(tomllib.loads(Path(path).read_text()), kind, strict=True)
     except OSError as why:
         raise Unfit(f"{path}: {why.strerror}") from None
     except (tomllib.TOMLDecodeError, msgspec.MsgspecError, UnicodeDecodeError) as why:
         raise Unfit(f"{path}: {why}") from None
 
+
+def read(path: str) -> Stated:
+    """Raises Unfit."""
+    sheet: Sheet = sheet_of(path, Sheet)
+
     def entry(name: str, make: Any, *given: Any) -> Any:  # noqa: ANN401
         try:
             return make(getattr(sheet, name), *given)
