Read-through: peers and rig say each thing once, what nothing used is gone

Peers: names to draw from are the keys of the peers held; a datagram is decoded once and looked at a second time only if that fails; an argument and a copy that nothing read are gone. Rig: opening a server, bringing a fleet up, reading who is here, cutting into halves and the settings of peers stand in one place each. Who is here is compared as a number (before, "7 here" was found in "17 here" too).

--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -7,11 +7,9 @@
 
 from thymedeck.lab import checks
 from thymedeck.lab.__main__ import main
-from thymedeck.lab.measure import here
 from thymedeck.lab.play import Run, settings
 from thymedeck.lab.scenario import read
 from thymedeck.lab.stage import KEY, SECOND, Guest, Processes
-from thymedeck.lab.standins import Listed
 from thymedeck.peers.messages import Counts, Kind, Rumour, Told
 from thymedeck.peers.stated import Unfit
 
@@ -56,16 +54,10 @@
 
 def test_hostile_with_the_key_flood_without_it_keys_changed_and_a_name_taken_twice() -> None:
     with Processes(1, settings(8, ["m1"], ["a"]), {}) as stage:
-        names = [f"b{at}" for at in range(8)]
-        stage.add_server("s0")
-        stage.list.set(Listed("s0"))
-        stage.known = [Listed("s0")]
-        for name in names:
-            stage.start(name)
-        stage.started(*names)
+        names = stage.bring_up(8)
         guest = Guest(stage, "g0")
         guest.newer = True  # a fleet of two versions of messages
-        assert stage.run_until(lambda: all(here(stage, name) == 8 for name in names), 20 * SECOND)
+        assert stage.run_until(lambda: all(stage.here(name) == 8 for name in names), 20 * SECOND)
         assert stage.run_until(lambda: len(guest.peers.ledger.heard) == 8, 10 * SECOND)
         honest = list(guest.peers.peers.values())
         for turn in range(60):
@@ -93,7 +85,7 @@
             )
             stage.run(SECOND)
         guest.close()  # it has the old key alone
-        assert stage.run_until(lambda: all(here(stage, name) == 7 for name in names), 20 * SECOND)
+        assert stage.run_until(lambda: all(stage.here(name) == 7 for name in names), 20 * SECOND)
         assert not called_gone(stage, names)
 
         stage.start("b8", called="b2")
--- a/thymedeck/lab/play.py
+++ b/thymedeck/lab/play.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from fnmatch import fnmatchcase
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
 from ..peers.stated import RATES, TIMES, figure
 from . import checks
@@ -81,8 +81,7 @@
             stage.list.refusal_cost = sheet.list_service.refusal_cost
         for name in self.names:
             stage.start(name)
-        if isinstance(stage, Processes):
-            stage.started(*self.names)
+        stage.started(*self.names)
 
     def play(self, say: Callable[[str], None] = lambda text: None) -> list[Row]:
         stage, scenario = self.stage, self.scenario
@@ -90,7 +89,8 @@
             self.set_up()
             begin = stage.now()
             stage.faults.entries += [
-                type(one)(one.since + begin, one.until + begin, *list_of(one)[2:]) for one in scenario.faults
+                structs.replace(one, since=one.since + begin, until=one.until + begin)
+                for one in scenario.faults
             ]
             for at, one in enumerate(scenario.sheet.clients):
                 rate = figure(one.rate, RATES)
@@ -120,14 +120,14 @@
             self.do_to_list(deed.what.partition(" ")[2])
             return
         names = [*self.names, *stage.servers]
-        for name in [one for one in names if any(fnmatchcase(one, pattern) for pattern in deed.who)]:
+        meant = [one for one in names if any(fnmatchcase(one, pattern) for pattern in deed.who)]
+        for name in meant:
             if name in stage.servers:
                 self.do_to_server(deed, name)
             else:
                 getattr(stage, deed.what)(name)
-        if deed.what == "start" and isinstance(stage, Processes):
-            started = [n for n in self.names if any(fnmatchcase(n, pattern) for pattern in deed.who)]
-            stage.started(*started)
+        if deed.what == "start":
+            stage.started(*meant)
 
     def do_to_list(self, what: str) -> None:
         service = self.stage.list
@@ -180,11 +180,7 @@
                 {peer.name for peer in stage.carriers[name].peers.here()} == running - {name}
                 for name in running
             )
-        wanted = f"{len(running) - 1} here"
-        return all(
-            any(wanted in entry["text"].split(";")[0] for entry in last_of(stage.log(name), "peers"))
-            for name in running
-        )
+        return all(stage.here(name) == len(running) - 1 for name in running)
 
     def check(self) -> list[Row]:
         stage, scenario = self.stage, self.scenario
@@ -206,11 +202,3 @@
 
 def is_fault(entry: dict) -> bool:
     return entry["event"] in ("fault", "text", "unanswered")
-
-
-def last_of(log: list[dict], event: str) -> list[dict]:
-    return [entry for entry in log if entry["event"] == event and "here" in entry["text"]][-1:]
-
-
-def list_of(one: Struct) -> list:
-    return [getattr(one, name) for name in one.__struct_fields__]
--- a/thymedeck/lab/stage.py
+++ b/thymedeck/lab/stage.py
@@ -26,12 +26,13 @@
 from ..peers.carrier import Carrier
 from ..peers.messages import LARGEST, VERSION, Envelope, Kind, Message, Unusable, encode
 from ..peers.node import TICK, Peer, Peers
-from ..peers.stated import Stated
+from ..peers.stated import Stated, spelt
 from ..peers.stated import read as read_peers
 from ..peers.words import Came, Event, Send, Tick
 from .faults import Faults
 from .records import Record
 from .standins import Crowd, Door, Listed, ListService, Server
+from .talk import stated
 from .world import Machine, World
 
 SECOND = 10_000
@@ -39,7 +40,6 @@
 KEY = "00112233445566778899aabbccddeeff"
 LOOK_EVERY = 200  # at what processes wrote, in real time
 READY_WITHIN = 60 * SECOND
-END_WITHIN = 20 * SECOND
 
 
 class Stage:
@@ -62,8 +62,9 @@
         return self.loop.now() - self.begin
 
     def add_server(self, ident: str, **more: int) -> Server:
-        self.servers[ident] = Server(self.loop, self.record, ident, **more)
-        return self.servers[ident]
+        server = self.servers[ident] = Server(self.loop, self.record, ident, **more)
+        self.open_server(server)
+        return server
 
     def add_crowd(self, seed: int, rate: float, life: int, classes: tuple[str, ...], deadline: int) -> Crowd:
         crowd = Crowd(self.loop, self.record, self.doors, seed, rate, life, classes, deadline)
@@ -78,8 +79,8 @@
     def config(self, name: str, seed: int) -> dict:
         return {
             "name": name,
-            "listen": "{}:{}".format(*self.listen_at(name)),
-            "discovery": "{}:{}".format(*self.list_at(name)),
+            "listen": spelt(self.listen_at(name)),
+            "discovery": spelt(self.list_at(name)),
             "seed": f"{seed:x}",
             "settings": self.settings,
             "known": {
@@ -94,6 +95,13 @@
 
     # Of each world
 
+    def open_server(self, server: Server) -> None:
+        raise NotImplementedError
+
+    def started(self, *names: str) -> None:
+        """Returns once all of these take clients in."""
+        raise NotImplementedError
+
     def address_for(self, server: str, balancer: str) -> str:
         raise NotImplementedError
 
@@ -145,11 +153,6 @@
             self.world.names[self.hosts[name]] = name
         return self.hosts[name]
 
-    def add_server(self, ident: str, **more: int) -> Server:
-        server = super().add_server(ident, **more)
-        self.open_server(server)
-        return server
-
     def open_server(self, server: Server) -> None:
         server.listen((self.host(server.ident), 8000), lambda source: self.world.name_of(source[0]))
 
@@ -168,14 +171,10 @@
         return "10.2.0.1", port
 
     def peers_stated(self, name: str) -> Stated:
-        given = {
-            "fleet": "lab", "period": SECOND, "answer_within": 3_000, "notice_within": 5 * SECOND,
-            "forget_after": 90 * SECOND, "send_most": 2_000, "take_most": 500, "peers_most": 1_000,
-            "servers_most": 120, "keys": (bytes.fromhex(KEY),), "keys_from": Path("none"),
-            "join": tuple(f"{self.host(f'b{at}')}:7946" for at in range(3)),
-        }  # fmt: skip
         here = (self.host(name), 7946)
-        return Stated(**(given | self.peers | {"listen": here, "advertise": "{}:{}".format(*here)}))
+        join = tuple(f"{self.host(f'b{at}')}:7946" for at in range(3))
+        own = {"listen": here, "advertise": spelt(here), "keys": (bytes.fromhex(KEY),)}
+        return stated(0, join, **(self.peers | own))
 
     def start(self, name: str) -> None:
         machine = self.machines[name] = Machine(self.world, self.host(name))
@@ -192,6 +191,9 @@
         self.alive.add(name)
         self.record.note("started", balancer=name)
 
+    def started(self, *names: str) -> None:
+        """They do as soon as they are started."""
+
     def kill(self, name: str) -> None:
         self.alive.discard(name)
         self.record.note("killed", balancer=name)
@@ -375,7 +377,6 @@
         self.datagram_relays: dict[str, DatagramRelay] = {}
         self.datagram_names: dict[tuple[str, int], str] = {}
         self.datagram_bytes: dict[str, int] = {}
-        self.keys = [KEY]
         self.lines: dict[str, list[dict]] = {}
         self.parts: dict[str, tuple[int, bytes]] = {}
         self.errors: list[BaseException] = []
@@ -386,11 +387,6 @@
     def fault(self, error: BaseException) -> None:
         self.errors.append(error)
 
-    def add_server(self, ident: str, **more: int) -> Server:
-        server = super().add_server(ident, **more)
-        self.open_server(server)
-        return server
-
     def open_server(self, server: Server) -> None:
         self.server_at[server.ident] = server.listen(
             self.server_at.get(server.ident) or self.free_port(), lambda source: self.sources.pop(source, "?")
@@ -404,7 +400,7 @@
     def address_for(self, server: str, balancer: str) -> str:
         # One that nobody opened yet gets a port at which nothing listens.
         to = self.server_at.get(server) or self.server_at.setdefault(server, self.free_port())
-        return "{}:{}".format(*self.way(balancer, server, to))
+        return spelt(self.way(balancer, server, to))
 
     def free_port(self) -> tuple[str, int]:
         self.port += 1
@@ -433,12 +429,10 @@
         relay = self.datagram_relays[name]
         given = {
             "fleet": "lab",
-            "listen": "{}:{}".format(*relay.to),
-            "advertise": "{}:{}".format(*relay.sock.getsockname()),
+            "listen": spelt(relay.to),
+            "advertise": spelt(relay.sock.getsockname()),
             "key_file": "peers.key",
-            "join": [
-                "{}:{}".format(*self.datagram_relays[one].sock.getsockname()) for one in ("b0", "b1", "b2")
-            ],
+            "join": [spelt(self.datagram_relays[one].sock.getsockname()) for one in ("b0", "b1", "b2")],
             "answer_within": "300 ms",
         }
         text = "".join(
@@ -461,7 +455,7 @@
         call = [sys.executable, "-m", "thymedeck", "serve", "--config", config]
         if self.peers is not None:
             if not (self.path / "peers.key").exists():
-                self.write_keys(*self.keys)
+                self.write_keys(KEY)
             call += ["--peers", self.write_peers(name)]
         log = self.path / f"{name}.log"
         with log.open("ab") as out:
@@ -491,6 +485,24 @@
         if not self.run_until(lambda: set(names) <= self.alive, READY_WITHIN):
             raise TimeoutError(f"not started: {sorted(set(names) - self.alive)}")
 
+    def bring_up(self, balancers: int) -> list[str]:
+        """So many, with one server that the list names; returns their names once they take clients in."""
+        names = [f"b{at}" for at in range(balancers)]
+        self.add_server("s0")
+        self.known = [Listed("s0")]
+        self.list.set(*self.known)
+        for name in names:
+            self.start(name)
+        self.started(*names)
+        return names
+
+    def here(self, name: str) -> int:
+        """How many peers that balancer's log last told to be here."""
+        for entry in reversed(self.log(name)):
+            if entry["event"] == "peers" and entry["text"].startswith("peers: "):
+                return int(entry["text"].split()[1])
+        return 0
+
     def signal(self, name: str, which: signal.Signals) -> None:
         self.running[name].send_signal(which)
 
@@ -573,14 +585,12 @@
         self.sock = stage.system.datagram(("127.0.0.1", 0))
         self.sock.setblocking(False)
         here = self.sock.getsockname()
-        relay = stage.datagram_relays[name] = DatagramRelay(stage, name, here)
+        stage.datagram_relays[name] = DatagramRelay(stage, name, here)
         stage.datagram_names[here] = name
-        stated = read_peers(str(stage.write_peers(name)))
-        self.envelope = Envelope(stated.fleet, [bytes.fromhex(key)])
+        own = read_peers(str(stage.write_peers(name)))
+        self.envelope = Envelope(own.fleet, [bytes.fromhex(key)])
         unix_ms = stage.system.time_ns() // 1_000_000
-        advertise = "{}:{}".format(*relay.sock.getsockname())
-        stated = msgspec.structs.replace(stated, advertise=advertise)
-        self.peers = Peers(stated, name, 1, self.loop.now(), unix_ms, 1)
+        self.peers = Peers(own, name, 1, self.loop.now(), unix_ms, 1)
         self.heard: list[Message] = []
         self.newer = False  # sends what a later version might: more fields
         self.loop.watch(self.sock, 0, READ, self)
--- a/thymedeck/lab/standins.py
+++ b/thymedeck/lab/standins.py
@@ -340,7 +340,6 @@
         self.classes = classes
         self.deadline = deadline
         self.retries = 2
-        self.open: dict[Caller, None] = {}
         self.stopped = False
 
     def start(self) -> None:
@@ -378,7 +377,6 @@
 
     def call(self, address: tuple[str, int], again: bool) -> None:
         crowd = self.crowd
-        crowd.open[self] = None
         figures = f"c={self.kind},d={crowd.deadline // 10}" + (",again=1" if again else "")
         self.outbound.put(f"OPEN {self.ident} {crowd.bits(64):016x} {figures}\r\n".encode())
         self.due = self.loop.after(crowd.deadline + 2 * SECOND, self.give_up)
@@ -445,5 +443,4 @@
 
     def close(self, reset: bool = False) -> None:
         self.due.cancel()
-        self.crowd.open.pop(self, None)
         super().close(reset)
--- a/thymedeck/lab/talk.py
+++ b/thymedeck/lab/talk.py
@@ -323,7 +323,7 @@
     talk.start(name, address(victim))
     join = talk.run_until(lambda: talk.holders(name) == balancers - 1, 120 * SECOND)
     talk.run(20 * SECOND)
-    talk.faults.entries += cut_by_parity(talk)
+    talk.faults.entries += cut_by_parity(talk.now)
     talk.run(10 * SECOND)
     heal = talk.run_until(talk.agree, 120 * SECOND)
     return Figures(
@@ -339,10 +339,7 @@
     return sum("gone" in text for _, _, text in talk.logs)
 
 
-def cut_by_parity(talk: Talk) -> list[Fault]:
-    """Names that end in an even figure from those that end in an odd one."""
+def cut_by_parity(now: int) -> list[Fault]:
+    """For 10 s, names that end in an even figure from those that end in an odd one."""
     even, odd = "b*[02468]", "b*[13579]"
-    return [
-        Fault(talk.now, talk.now + 10 * SECOND, one, other, cut=True)
-        for one, other in ((even, odd), (odd, even))
-    ]
+    return [Fault(now, now + 10 * SECOND, *sides, cut=True) for sides in ((even, odd), (odd, even))]
--- a/thymedeck/peers/carrier.py
+++ b/thymedeck/peers/carrier.py
@@ -20,9 +20,7 @@
 SECOND = 10_000
 COUNT_EVERY = SECOND
 AT_ONCE = 32  # datagrams taken in before others have their turn
-FULL_PAUSE = (
-    SECOND // 10
-)  # once a second's datagrams are taken in, the rest waits in the socket, or is lost there
+FULL_PAUSE = SECOND // 10  # past a second's datagrams the rest waits in the socket, or is lost there
 
 
 class Carrier:
@@ -32,7 +30,6 @@
         self.service = service
         self.loop = service.loop
         self.stated = stated
-        self.keys_from = stated.keys_from
         self.envelope = Envelope(stated.fleet, list(stated.keys))
         self.peers = Peers(
             stated, name, seed, self.loop.now(), system.time_ns() // 1_000_000, service.site.replicas
@@ -132,19 +129,17 @@
 
     def report(self) -> None:
         """What counted for nothing since the last line, every ten seconds."""
-        if self.unusable.total() + self.peers.counted.total() and self.loop.now() >= self.report_at:
+        dropped = self.unusable + self.peers.counted
+        if dropped and self.loop.now() >= self.report_at:
             self.report_at = self.loop.now() + 10 * SECOND
-            self.service.log("peers_dropped", **{k.replace(" ", "_"): n for k, n in self.dropped().items()})
+            self.service.log("peers_dropped", **{why.replace(" ", "_"): n for why, n in dropped.items()})
             self.unusable.clear()
             self.peers.counted.clear()
 
-    def dropped(self) -> Counter[str]:
-        return self.unusable + self.peers.counted
-
     def reload_keys(self) -> None:
         """Keys are changed under way: the file is read again, a bad one changes nothing."""
         try:
-            self.envelope.keys = read_keys(self.keys_from)
+            self.envelope.keys = read_keys(self.stated.keys_from)
         except Unfit as why:
             self.service.log("peer_keys_kept", why=str(why))
             return
--- a/thymedeck/peers/messages.py
+++ b/thymedeck/peers/messages.py
@@ -105,22 +105,25 @@
         body = data[DIGEST:]
         if not any(hmac.compare_digest(self.digest(key, body), data[:DIGEST]) for key in self.keys):
             raise Unusable("key")
-        # The version is read first: a newer one's fields may be of other types.
-        try:
-            version = msgspec.msgpack.decode(body, type=list)[0]
-        except (msgspec.MsgspecError, IndexError, RecursionError):
-            raise Unusable("shape") from None
-        if version != VERSION:
-            raise Unusable("version")
         try:
             message = decode(body)
-        except msgspec.MsgspecError:
-            raise Unusable("shape") from None
+        except (msgspec.MsgspecError, RecursionError):
+            raise Unusable("version" if is_of_another_version(body) else "shape") from None
+        if message.version != VERSION:
+            raise Unusable("version")
         if not is_sound(message):
             raise Unusable("bounds")
         return message
 
 
+def is_of_another_version(body: bytes) -> bool:
+    """Whose fields may be of other types."""
+    try:
+        return msgspec.msgpack.decode(body, type=list)[0] != VERSION
+    except (msgspec.MsgspecError, IndexError, RecursionError):
+        return False
+
+
 def is_sound(message: Message) -> bool:
     counts = message.counts
     return (
--- a/thymedeck/peers/node.py
+++ b/thymedeck/peers/node.py
@@ -150,14 +150,12 @@
         self.now = now
         self.out: list[Action] = []
         self.peers: dict[str, Peer] = {}
-        self.names: list[str] = []  # of all peers known, to draw from
         self.looking: dict[str, Peer] = {}  # those at which a look is under way, or wanted
         self.telling: deque[Peer] = deque()  # in the order in which they are told the own counts next
         self.candidates: dict[str, Candidate] = {}  # by address
         self.ledger = Ledger(stated.forget_after)
-        self.rumours: dict[
-            str, tuple[Rumour, int]
-        ] = {}  # by whom they are of, and how often still to be told
+        # By whom they are of, and how often each is still to be told.
+        self.rumours: dict[str, tuple[Rumour, int]] = {}
         self.asked: dict[int, Asked] = {}
         self.suspicions: dict[str, deque[bool]] = {}  # by voice, the last ones: whether they were wrong
         self.unheeded: dict[str, int] = {}  # voices, and until when
@@ -267,9 +265,9 @@
             del self.rumours[name]
             if times > 1:
                 self.rumours[name] = (rumour, times - 1)
-        for name in (
-            self.sample(self.names, min(NAMED_BESIDES, len(self.names))) if not message.rumours else ()
-        ):
+        if message.rumours:
+            return added
+        for name in self.sample(list(self.peers), min(NAMED_BESIDES, len(self.peers))):
             peer = self.peers[name]
             rumour = Rumour(Told.HERE, name, peer.incarnation, peer.address)
             size = len(encode(rumour))
@@ -432,8 +430,6 @@
         peer.seen.is_new(message.counter)
         peer.token = message.given
         self.telling.appendleft(peer)
-        if known is None:
-            self.names.append(name)
         if known is None or known.gone:
             self.came.append(name)
         self.spread(Told.HERE, name, peer.incarnation, address)
@@ -448,7 +444,6 @@
 
     def forget(self, peer: Peer) -> None:
         del self.peers[peer.name]
-        self.names.remove(peer.name)
         self.looking.pop(peer.name, None)
         self.suspicions.pop(peer.name, None)
         self.unheeded.pop(peer.name, None)
@@ -507,7 +502,7 @@
     def hear(self, rumour: Rumour, by: Peer) -> None:
         """Looks into it; it goes on to others only if this balancer finds it to be so."""
         if rumour.name == self.name:
-            self.hear_of_self(rumour, by)
+            self.hear_of_self(rumour)
             return
         peer = self.peers.get(rumour.name)
         if rumour.told == Told.HERE:
@@ -547,7 +542,7 @@
         peer.due = self.now + int(self.uniform(0, self.stated.answer_within / 2 + spread))
         self.looking[peer.name] = peer
 
-    def hear_of_self(self, rumour: Rumour, by: Peer) -> None:
+    def hear_of_self(self, rumour: Rumour) -> None:
         if rumour.told == Told.HERE:
             if rumour.address != self.stated.advertise:
                 self.log(
--- a/thymedeck/peers/stated.py
+++ b/thymedeck/peers/stated.py
@@ -27,7 +27,7 @@
 
 
 class Sheet(msgspec.Struct, forbid_unknown_fields=True):
-    """The file as it is written (examples/peers.toml)."""
+    """The file as it is written (deploy/peers.toml)."""
 
     fleet: str
     listen: str
@@ -94,6 +94,7 @@
         except ValueError as why:
             raise Unfit(f"{path}: {name}: {why}") from None
 
+    keys_from = Path(path).parent / sheet.key_file
     times = {
         name: entry(name, figure, TIMES)
         for name in ("period", "answer_within", "notice_within", "forget_after")
@@ -105,8 +106,8 @@
             entry("advertise", server_address) if sheet.advertise else entry("listen", server_address)
         ),
         join=tuple(spelt(one) for one in entry("join", lambda all_: [server_address(one) for one in all_])),
-        keys=tuple(read_keys(Path(path).parent / sheet.key_file)),
-        keys_from=Path(path).parent / sheet.key_file,
+        keys=tuple(read_keys(keys_from)),
+        keys_from=keys_from,
         send_most=entry("send_most", figure, RATES),
         take_most=entry("take_most", figure, RATES),
         peers_most=entry("peers_most", at_least, 1),
