Peers: proofs of life that only their owner can make and anybody passes on

Seen: at 200 a death took 23 s, halves did not agree in 120 s; traces (first look, first doubt, verdict by balancer, bytes by kind of message) showed three causes. (1) Everybody verified for itself, so one in doubt had to answer 200 looks; (2) all looked at who was not heard for longest, so one just dead was first looked at after 3 s; (3) who had met few looked at those few every period, and a look under way when a refutation came was held against the next incarnation: doubts of the first of the list never ended while a fleet met (refuted once a second each). Change: chains of digests (lives.py): a later link proves life whoever passes it on; doubts and proofs are passed on at once to three; looks by chance, about once a period on each by all together.

--- a/thymedeck/peers/bounds.py
+++ b/thymedeck/peers/bounds.py
@@ -6,15 +6,16 @@
 
 
 class Window:
-    """What was spent within the last second; never more than `most` in any second."""
+    """What was spent within the last second, or `span`; never more than `most` in any."""
 
-    def __init__(self, most: int) -> None:
+    def __init__(self, most: int, span: int = SECOND) -> None:
         self.most = most
+        self.span = span
         self.spent: deque[tuple[int, int]] = deque()
         self.total = 0
 
     def left(self, now: int) -> int:
-        while self.spent and self.spent[0][0] <= now - SECOND:
+        while self.spent and self.spent[0][0] <= now - self.span:
             self.total -= self.spent.popleft()[1]
         return self.most - self.total
 
--- a/thymedeck/peers/messages.py
+++ b/thymedeck/peers/messages.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from .lives import DOUBT, LINK, ONE
+
 VERSION = 1
 DIGEST = 16
 LARGEST = 1200  # bytes of a datagram, digest included
@@ -29,8 +31,9 @@
 
 class Told(IntEnum):
     HERE = 0
-    SUSPECT = 1
-    GONE = 2
+    SUSPECT = 1  # by who tells it, from its own looks
+    GONE = 2  # the same
+    DOUBTED = 3  # by somebody, and passed on: it counts as nobody's voice
 
 
 class Rumour(msgspec.Struct, array_like=True, frozen=True):
@@ -40,7 +43,6 @@
     name: str
     incarnation: int
     address: str = ""  # of one that is here
-    by: str = ""  # whose suspicion it is
 
 
 class Counts(msgspec.Struct, array_like=True):
@@ -74,6 +76,9 @@
     proof: bytes = b""  # of an ACK to a PING for another, and of a PROOF
     rumours: list[Rumour] = []
     counts: Counts | None = None
+    link: bytes = b""  # with an address: the sender's own, of its incarnation
+    lives: bytes = b""  # proofs of life, ONE bytes each, of anybody
+    doubts: bytes = b""  # who is not known to live, DOUBT bytes each: proofs are wanted
 
 
 class Unusable(Exception):
@@ -136,6 +141,9 @@
         and len(message.address) <= LONGEST_NAME
         and len(message.target) <= LONGEST_NAME
         and len(message.rumours) <= MOST_RUMOURS
+        and len(message.link) in (0, LINK)
+        and not len(message.lives) % ONE
+        and not len(message.doubts) % DOUBT
         and all(is_name(one.name) and 0 < one.incarnation < LATEST for one in message.rumours)
         and (
             counts is None
--- a/thymedeck/peers/node.py
+++ b/thymedeck/peers/node.py
@@ -1,9 +1,9 @@
 """Who is there and what they tell: every decision on peers; read it top to bottom.
 
 Make one Peers and call handle(now, event) for whatever happens; carry out the actions it returns. `now` is a
-clock in tenths of a millisecond that never goes back. Nothing is held true for hearsay (docs/peers.md): a
-peer is here once it has sent back what was sent to its address, and gone once it has left this balancer's
-own looks at it, those through others among them, unanswered often enough.
+clock in tenths of a millisecond that never goes back. Hearsay is held true only where it proves itself
+(docs/peers.md): a peer is here once it has sent back what was sent to its address, and gone once it has left
+this balancer's own looks unanswered and no proof of its life has come within the time that one takes.
 """
 
 import random
@@ -13,6 +13,7 @@
 
 from .bounds import SECOND, Seen, Window
 from .ledger import Ledger, Sum
+from .lives import DOUBT, KEY, LENGTH, ONE, Chain, ahead, doubt, key_of, makes, proof, split
 from .messages import (
     DIGEST,
     MOST_RUMOURS,
@@ -34,16 +35,20 @@
 STEP = 100_000  # incarnations of one process, of which each refutation takes the next
 REFUTE_EVERY = SECOND
 HELPERS = 3  # that are asked to look for this balancer
-LOOKS = 2  # that fail where others suspect too, and twice as many where none does
+LOOKS = 4  # that fail where nobody else suspects; one where others do
 VOICES = 2  # others that suspect, for this to count
+PATIENCE = SECOND * 3 // 20  # for a proof of life, times the fleet's logarithm: to the one in doubt and back
+LOOK_FROM, LOOK_TO = 0.25, 0.5  # of that time, when a look is made for hearsay: most proofs have come by then
+MANY = 3  # called gone within MANY_WITHIN: whoever loses so many is lost by them, and proves its life at once
+MANY_WITHIN = 5 * SECOND
+SURE_EVERY = 10 * SECOND
 ALIVE_WITHIN = 3 * SECOND  # heard so lately, somebody still has its name
 LOSSES = 16  # looks remembered, for how much is lost on the way
-LOSS_WEIGHT = 12  # more looks that have to fail, for each part of them that was lost
-TRUST = 8  # a voice's last suspicions remembered
-MOST_WRONG = 6  # of them, for it not to be heeded
+LOSS_WEIGHT = 16  # more looks that have to fail, for each part of them that was lost
+MOST_WRONG = 6  # suspicions, or proofs that prove nothing, of one voice,
+WRONG_WITHIN = 10 * SECOND  # within this, for it not to be heeded
 HEED_AGAIN = 60 * SECOND
 HEARSAY_LOOKS = 10  # a second
-HEARSAY_SPREAD = SECOND // 60  # for each peer: one that is well can answer about twenty in a second
 MEET_SPREAD = SECOND // 20  # the same for those who want to meet somebody new
 AGAIN_SPREAD = SECOND // 200  # the same between looks of one that failed
 REMEMBER = 600 * SECOND  # one that is gone is still looked at now and then
@@ -53,15 +58,23 @@
 TRIES = 4  # pings to somebody not known
 USUAL = 200  # bytes of a datagram, up to which rumours go along
 TOLD = 3  # times that each tells a rumour: more than one that hears it looks, and tells it too
+LIFE_TOLD = 5  # the same of a proof of life
+DOUBTS_ASKED = 20  # with a look, of those that are not known to live
+DOUBTS_MOST = 60  # with the look at one that has come back: others will have come back with it
+LIVES_ANSWERED = 60
+AT_ONCE = 3  # peers that are told of a doubt or a proof of life in datagrams of their own
+URGENT = 3  # such datagrams a second
+LIVES_ROOM = 130  # bytes of a datagram, for proofs that are passed on
 SUSPECT_TOLD = 2  # the same of a suspicion, times the fleet's logarithm: few have it, and all wait for it
 FEW = 50  # bytes of rumours, whatever the datagram's size
 MOST_KINDS = 4  # of machine, told of
 LARGEST_COUNTS = 900  # bytes, which leaves room for the longest names beside
 COUNTS_LEAST = SECOND  # between two tellings to the same peer
 COUNTS_AGAIN = 10 * SECOND  # what has not changed is told again after this: the last may be lost
-KEPT = 0.3  # of what may be sent, from the own counts, so that looks and answers find room
+KEPT = 0.2  # of what may be sent, from the own counts, so that looks and answers find room
 KEPT_WHEN_BUSY = 0.85  # the same while there are some to be met, or more than so many to be looked at
 BUSY = 3
+KEPT_FOR_NEWS = 0.15  # from all of them, for doubts and proofs of life
 KEPT_FROM_MEETING = 0.4  # and from those questions, for answers to them
 NAMED_BESIDES = 2  # of those here, in a message that has no news to tell
 STALE = SECOND // 2  # what has waited longer is not sent any more
@@ -81,14 +94,17 @@
 
     __slots__ = (
         "address", "began", "due", "failed", "from_it", "gone", "gone_at", "heard_at", "incarnation",
-        "looked_at", "name", "nonce", "refuted", "seen", "suspect", "through", "token", "told_at",
-        "told_version", "voices",
+        "key", "link", "looked_at", "name", "nonce", "number", "seen", "since", "suspect", "through", "token",
+        "told_at", "told_version", "voices",
     )  # fmt: skip
 
     def __init__(self, name: str, address: str, incarnation: int, now: int) -> None:
         self.name = name
         self.address = address
         self.incarnation = incarnation
+        self.key = key_of(name, incarnation // STEP)
+        self.number = 0  # of the link
+        self.link = b""  # the last that is known of its chain
         self.token = b""  # what it gave us, sent back with every message to it
         self.seen = Seen()
         self.from_it = Window(FROM_ONE)
@@ -103,7 +119,7 @@
         self.began = 0
         self.through = False  # others have been asked in this look
         self.due = -1  # when a look is wanted; -1: none
-        self.refuted = 0  # the incarnation in which it is said to have refuted a suspicion
+        self.since = -1  # when it came in doubt; -1: it is not
         self.told_at = -COUNTS_AGAIN
         self.told_version = 0
 
@@ -147,17 +163,27 @@
         self.sample = chance.sample
         self.bits = chance.getrandbits
         self.secret = chance.randbytes(32)
+        self.randbytes = chance.randbytes
+        self.chain = Chain(self.randbytes(32))
+        self.key = key_of(name, self.incarnation // STEP)
+        self.sure_at = now - SURE_EVERY
+        self.later_at = now - HEED_AGAIN
         self.now = now
         self.out: list[Action] = []
         self.peers: dict[str, Peer] = {}
-        self.looking: dict[str, Peer] = {}  # those at which a look is under way, or wanted
+        self.by_key: dict[bytes, Peer] = {}
+        # Those at which a look is under way or wanted, and those of which a proof of life may still come.
+        self.looking: dict[str, Peer] = {}
         self.telling: deque[Peer] = deque()  # in the order in which they are told the own counts next
         self.candidates: dict[str, Candidate] = {}  # by address
         self.ledger = Ledger(stated.forget_after)
         # By whom they are of, and how often each is still to be told.
         self.rumours: dict[str, tuple[Rumour, int]] = {}
+        self.lives: dict[bytes, int] = {}  # proofs to be passed on, by key: how often still
         self.asked: dict[int, Asked] = {}
-        self.suspicions: dict[str, deque[bool]] = {}  # by voice, the last ones: whether they were wrong
+        self.wrongs: dict[str, Window] = {}  # by voice, the last ones
+        self.lost_many = Window(MANY, MANY_WITHIN)
+        self.urgent = Window(URGENT)
         self.unheeded: dict[str, int] = {}  # voices, and until when
         self.hearsay = Window(HEARSAY_LOOKS)
         self.lost: deque[bool] = deque(maxlen=LOSSES)
@@ -168,6 +194,7 @@
         self.quiet_until = now
         self.probe_at = now + int(self.uniform(0, stated.period))
         self.join_at = now
+        self.joins = 0
         self.rejoin_at = now + REJOIN_EVERY
         self.draining = False
         self.came: list[str] = []  # and the next: since the last line of the log
@@ -218,25 +245,34 @@
         self.waiting.append((self.now, to, kind, token, more))
 
     def flush(self) -> None:
-        """Answers first, in order; what they and looks leave of a second's bytes goes to the own counts."""
+        """Answers first, in order; what they and looks leave of a second's bytes goes to the own counts.
+
+        All of them leave some: guards against one that answers so many that it can't prove that it lives.
+        """
         while self.waiting:
             since, address, kind, token, more = self.waiting[0]
             if self.now - since > (STALE if not more.get("question") else STALE_QUESTION):
                 self.waiting.popleft()
                 self.count("sent too late")
                 continue
-            if not self.dispatch(address, kind, token, more, self.sent.left(self.now)):
+            if not self.dispatch(address, kind, token, more, self.room()):
                 return
             self.waiting.popleft()
         self.tell_counts()
 
+    def room(self) -> int:
+        return self.sent.left(self.now) - int(KEPT_FOR_NEWS * self.stated.send_most)
+
     def dispatch(self, address: str, kind: Kind, token: bytes, more: dict, room: int) -> bool:
         """Whether there was room for it; rumours go along in what is left of the datagram's usual size."""
         message = Message(VERSION, kind, self.name, self.incarnation, self.counter + 1, token=token, **more)
+        if message.address:
+            message.link = self.chain.link(self.incarnation % STEP)
         size = DIGEST + len(encode(message))
         if size > room:
             return False
         self.counter += 1
+        size += self.add_lives(message, min(room - size, LIVES_ROOM))
         size += self.add_rumours(message, min(room - size, FEW if self.is_busy() else max(USUAL - size, FEW)))
         self.sent.take(self.now, size)
         self.out.append(Send(address, message))
@@ -244,11 +280,14 @@
 
     def ask(self, address: str, kind: Kind, token: bytes, more: dict, keep: float = 0.0) -> bool:
         """Whether it went out. Never before the answers that wait, and never late: a look begins with it."""
-        room = self.sent.left(self.now) - int(keep * self.stated.send_most)
+        room = self.room() - int(keep * self.stated.send_most)
         return not self.waiting and self.dispatch(address, kind, token, more, room)
 
     def is_busy(self) -> bool:
-        return bool(self.candidates) or len(self.looking) > BUSY
+        return bool(self.candidates) or self.many_suspect()
+
+    def many_suspect(self) -> bool:
+        return sum(peer.suspect for peer in self.looking.values()) > BUSY
 
     def add_rumours(self, message: Message, room: int) -> int:
         """The bytes added. Newest first; each is told a few times by all who found it to be so.
@@ -276,14 +315,51 @@
                 added += size + 2 * (not added)
         return added
 
+    def add_lives(self, message: Message, room: int) -> int:
+        """The bytes added, at the most: proofs of life that are to be passed on, newest first."""
+        count = min(max(room - 2, 0) // ONE, len(self.lives))
+        before = len(message.lives)
+        for key in list(self.lives)[: -count - 1 : -1]:
+            times = self.lives.pop(key)
+            message.lives += self.proof_of(key)
+            if times > 1:
+                self.lives[key] = times - 1
+        return len(message.lives) - before + (1 if len(message.lives) > 255 else 0)
+
+    def proof_of(self, key: bytes) -> bytes:
+        """The last that is known; nothing where none is."""
+        if key == self.key:
+            number = self.incarnation % STEP
+            return proof(key, number, self.chain.link(number))
+        peer = self.by_key.get(key)
+        return proof(key, peer.number, peer.link) if peer is not None and peer.link else b""
+
+    def doubts(self, most: int, first: Peer | None = None) -> bytes:
+        """Who is not known to live, by chance so many; `first` surely, if it is one of them."""
+        among = [peer for peer in self.peers.values() if peer is not first and (peer.gone or peer.since >= 0)]
+        among = self.sample(among, min(most, len(among)))
+        if first is not None and (first.gone or first.since >= 0):
+            among.append(first)
+        return b"".join(doubt(peer.key, peer.incarnation % STEP) for peer in among)
+
     def spread(self, told: Told, name: str, incarnation: int, address: str = "") -> None:
         self.rumours.pop(name, None)
         times = SUSPECT_TOLD * ceil(log2(2 + len(self.peers))) if told == Told.SUSPECT else TOLD
         self.rumours[name] = (Rumour(told, name, incarnation, address), times)
 
-    def ping(self, address: str, token: bytes, nonce: int, target: str = "", keep: float = 0.0) -> bool:
-        more = {"given": self.token_for(address), "address": self.stated.advertise}
-        return self.ask(address, Kind.PING, token, more | {"nonce": nonce, "target": target}, keep)
+    def ping(self, address: str, token: bytes, nonce: int, keep: float = 0.0, **more: object) -> bool:
+        return self.ask(address, Kind.PING, token, self.about_self(address) | {"nonce": nonce} | more, keep)
+
+    def about_self(self, to: str) -> dict[str, object]:
+        """What somebody has to know who has not met this balancer, or not lately."""
+        return {"given": self.token_for(to), "address": self.stated.advertise}
+
+    def hurry(self, own: bool = False) -> None:
+        """News that others wait for goes to a few by itself, before any answer; they do the same."""
+        others = [one for one in self.peers.values() if not (one.gone or one.suspect) and one.token]
+        for peer in self.sample(others, min(AT_ONCE, len(others))):
+            if own or self.urgent.take(self.now, 1):
+                self.dispatch(peer.address, Kind.COUNTS, peer.token, {}, self.sent.left(self.now))
 
     def tell_counts(self) -> None:
         """To each peer itself, those that wait for longest first: nobody tells another's counts."""
@@ -298,7 +374,7 @@
                 continue
             # Who comes after it was told later, of a version no older.
             wait = COUNTS_LEAST if peer.told_version < own.version else COUNTS_AGAIN
-            room = self.sent.left(self.now) - keep
+            room = self.room() - keep
             if self.now - peer.told_at < wait or not self.dispatch(
                 peer.address, Kind.COUNTS, peer.token, {"counts": own}, room
             ):
@@ -339,10 +415,18 @@
         if not peer.seen.is_new(message.counter):
             self.count("repeated")
             return
-        peer.incarnation = message.incarnation
+        if message.lives and self.now >= self.unheeded.get(name, 0):
+            self.take_lives(message.lives, peer)
+        peer.incarnation = max(peer.incarnation, message.incarnation)
+        if message.link:
+            peer.link, peer.number = message.link, message.incarnation % STEP
         if message.given:
             peer.token = message.given
+        back = peer.gone
         self.heard(peer)
+        for one in split(message.doubts, DOUBT)[:DOUBTS_MOST]:
+            if one[:KEY] == self.key and not ahead(one[KEY], self.incarnation % STEP):
+                self.hear_of_self(self.incarnation if one == doubt(self.key, self.incarnation % STEP) else 0)
         if message.kind == Kind.PING:
             self.answer(peer, message)
         elif message.kind == Kind.ACK:
@@ -355,6 +439,38 @@
             self.ledger.take(self.now, name, peer.incarnation, message.counts)
         for rumour in message.rumours:
             self.hear(rumour, peer)
+        if back and not peer.nonce and (asked := self.doubts(DOUBTS_MOST)):
+            # What has healed for one has for others, and it knows of them: all doubts begin anew.
+            for other in self.looking.values():
+                if other.since >= 0 and not other.nonce:
+                    self.doubt(other)
+            self.look(peer, asked)
+
+    def take_lives(self, lives: bytes, by: Peer) -> None:
+        """Proofs of life, from whomever: each is held against the link that its owner gave this balancer."""
+        for one in split(lives, ONE):
+            peer = self.by_key.get(one[:KEY])
+            steps = ahead(one[KEY], peer.number) if peer is not None and peer.link else 0
+            if not steps or peer.number + steps <= peer.incarnation % STEP and peer is not by:
+                if peer is not None and peer.gone and one[KEY] == peer.incarnation % STEP % 256:
+                    # No proof, but the other holds it to be here.
+                    self.want_look(peer)
+                continue
+            if not makes(one[KEY + 1 :], steps, peer.link):
+                self.count("no proof of life")
+                self.was_wrong(by.name)
+                return
+            peer.number += steps
+            peer.link = one[KEY + 1 :]
+            peer.incarnation = max(peer.incarnation, peer.incarnation // STEP * STEP + peer.number)
+            in_doubt = peer.since >= 0 or peer.gone
+            self.well(peer)
+            self.tell_life(peer.key, LIFE_TOLD)
+            if in_doubt:
+                self.hurry()
+
+    def tell_life(self, key: bytes, times: int) -> None:
+        self.lives[key] = max(times, self.lives.pop(key, 0))
 
     @staticmethod
     def is_same(peer: Peer, message: Message) -> bool:
@@ -397,8 +513,8 @@
         question = 0
         if candidate := self.candidate(address, self.now + 2 * self.stated.answer_within):
             question = candidate.nonce = candidate.nonce or self.bits(NONCE) + 1
-        more = {"given": self.token_for(address), "address": self.stated.advertise, "rumours": list(rumours)}
-        self.send(address, Kind.ACK, message.given, nonce=message.nonce, question=question, **more)
+        more = {"nonce": message.nonce, "question": question, "rumours": list(rumours)}
+        self.send(address, Kind.ACK, message.given, **self.about_self(address), **more)
 
     def candidate(self, address: str, due: int) -> Candidate | None:
         """None where there is no room for one more."""
@@ -424,11 +540,14 @@
         if known is None and len(self.peers) >= self.stated.peers_most and not self.make_room():
             self.log(f"no room for more than {self.stated.peers_most} peers: {name} is left out", "room")
             return None
-        self.looking.pop(name, None)
+        if known is not None:
+            self.forget(known)
         peer = self.peers[name] = Peer(name, address, message.incarnation, self.now)
+        self.by_key[peer.key] = peer
         self.ledger.drop(name)
         peer.seen.is_new(message.counter)
         peer.token = message.given
+        peer.link, peer.number = message.link, message.incarnation % STEP
         self.telling.appendleft(peer)
         if known is None or known.gone:
             self.came.append(name)
@@ -444,8 +563,10 @@
 
     def forget(self, peer: Peer) -> None:
         del self.peers[peer.name]
+        self.by_key.pop(peer.key, None)
+        self.lives.pop(peer.key, None)
         self.looking.pop(peer.name, None)
-        self.suspicions.pop(peer.name, None)
+        self.wrongs.pop(peer.name, None)
         self.unheeded.pop(peer.name, None)
 
     def answer(self, peer: Peer, message: Message) -> None:
@@ -456,11 +577,19 @@
             if by is None or not by.token:
                 return
             more["proof"] = short_digest(by.token, message.nonce.to_bytes(8))
-        self.send(peer.address, Kind.ACK, peer.token, **more)
+        lives = b""
+        for one in split(message.doubts, DOUBT)[:LIVES_ANSWERED]:
+            there = self.by_key.get(one[:KEY])
+            if there is not None and (there.gone or there.suspect):
+                continue
+            known = self.proof_of(one[:KEY])
+            if known and ahead(known[KEY], one[KEY] - 1):
+                lives += known
+        self.send(peer.address, Kind.ACK, peer.token, lives=lives, **more)
 
     def on_ack(self, peer: Peer, message: Message) -> None:
         if message.question:
-            more = {"given": self.token_for(peer.address), "address": self.stated.advertise}
+            more = self.about_self(peer.address)
             self.send(peer.address, Kind.ACK, peer.token, nonce=message.question, **more)
         if message.nonce and message.nonce == peer.nonce:
             self.lost.append(peer.through)
@@ -495,14 +624,20 @@
             return
         self.lost.append(True)
         peer.nonce = 0
-        self.heard(peer)
+        self.well(peer)
 
     # What is said of others
 
     def hear(self, rumour: Rumour, by: Peer) -> None:
         """Looks into it; it goes on to others only if this balancer finds it to be so."""
         if rumour.name == self.name:
-            self.hear_of_self(rumour)
+            if rumour.told != Told.HERE:
+                if self.now >= self.unheeded.get(by.name, 0):
+                    self.hear_of_self(rumour.incarnation)
+            elif rumour.address != self.stated.advertise:
+                self.log(
+                    f"the name {self.name} is taken by {rumour.address}; this balancer is not counted", "name"
+                )
             return
         peer = self.peers.get(rumour.name)
         if rumour.told == Told.HERE:
@@ -512,22 +647,34 @@
                     self.candidate(rumour.address, self.now + self.turn_of(rumour.name) + spread)
             elif peer.gone:
                 self.look_again(peer)
-            elif rumour.incarnation > max(peer.refuted, peer.incarnation):
-                # Hearsay against hearsay: guards against a fleet that drowns one that is well with looks.
-                peer.refuted = rumour.incarnation
-                self.spread(Told.HERE, peer.name, rumour.incarnation, peer.address)
-                if not peer.suspect:
-                    peer.voices.clear()
-                    peer.due = -1
             return
-        if peer is None or peer.gone or rumour.incarnation < max(peer.incarnation, peer.refuted):
+        if peer is None or peer.gone:
+            return
+        if rumour.incarnation < peer.incarnation:
+            if rumour.incarnation % STEP < peer.number and self.urgent.take(self.now, 1):
+                # Who tells it has missed the proof.
+                self.ask(by.address, Kind.COUNTS, by.token, {"lives": self.proof_of(peer.key)})
             return
         if self.now < self.unheeded.get(by.name, 0):
             self.count("not heeded")
             return
-        peer.voices.add(by.name)
-        if not peer.nonce and peer.due < 0 and self.hearsay.take(self.now, 1):
-            self.want_look(peer, len(self.peers) * HEARSAY_SPREAD)
+        if rumour.told != Told.DOUBTED:
+            peer.voices.add(by.name)
+        if peer.since < 0 and self.hearsay.take(self.now, 1):
+            # Passed on, so that the one in doubt hears of it, and its proof is there before most have looked.
+            self.spread(Told.DOUBTED, peer.name, peer.incarnation)
+            self.hurry()
+            self.doubt(peer)
+
+    def doubt(self, peer: Peer) -> None:
+        peer.since = self.now
+        if not peer.nonce:
+            patience = self.patience()
+            peer.due = self.now + int(self.uniform(LOOK_FROM * patience, LOOK_TO * patience))
+            self.looking[peer.name] = peer
+
+    def patience(self) -> int:
+        return PATIENCE * ceil(log2(2 + len(self.peers)))
 
     def turn_of(self, name: str) -> int:
         """One of the two asks, the other only if that has not come about."""
@@ -542,50 +689,76 @@
         peer.due = self.now + int(self.uniform(0, self.stated.answer_within / 2 + spread))
         self.looking[peer.name] = peer
 
-    def hear_of_self(self, rumour: Rumour) -> None:
-        if rumour.told == Told.HERE:
-            if rumour.address != self.stated.advertise:
-                self.log(
-                    f"the name {self.name} is taken by {rumour.address}; this balancer is not counted", "name"
-                )
-            return
-        if self.now - self.refuted_at < REFUTE_EVERY:
-            return
+    def hear_of_self(self, doubted: int) -> None:
+        """`doubted`: the incarnation of this balancer of which it is said that it does not live."""
+        process = self.incarnation // STEP
+        if doubted // STEP > process:
+            # Of a process before this, by whose clock it was later. Nobody can force that over and over.
+            if (
+                self.now - self.later_at < HEED_AGAIN
+                or self.incarnation_at(self.unix_now() + DAY // 2) <= doubted
+            ):
+                return
+            self.later_at = self.now
+            self.become(doubted // STEP + 1)
+        elif doubted == self.incarnation:
+            if self.now - self.refuted_at < REFUTE_EVERY:
+                return
+            self.prove_life()
+        elif doubted < self.incarnation:
+            self.tell_life(self.key, LIFE_TOLD)
+
+    def prove_life(self) -> None:
+        """Lets the next link go."""
         self.refuted_at = self.now
-        if self.incarnation <= rumour.incarnation < self.incarnation_at(self.unix_now() + DAY // 2):
-            later = rumour.incarnation // STEP > self.incarnation // STEP  # of a process before, by its clock
-            self.incarnation = (rumour.incarnation // STEP + 1) * STEP if later else rumour.incarnation + 1
-            self.spread(Told.HERE, self.name, self.incarnation, self.stated.advertise)
+        if self.incarnation % STEP == LENGTH:
+            self.become(self.incarnation // STEP + 1)
+            return
+        self.incarnation += 1
+        self.tell_life(self.key, LIFE_TOLD * ceil(log2(2 + len(self.peers))))
+        self.hurry(own=True)
+
+    def become(self, process: int) -> None:
+        """To the others this is a restart: they meet it anew."""
+        self.lives.pop(self.key, None)
+        self.incarnation = process * STEP
+        self.chain = Chain(self.randbytes(32))
+        self.key = key_of(self.name, process)
+        self.spread(Told.HERE, self.name, self.incarnation, self.stated.advertise)
 
     def heard(self, peer: Peer) -> None:
-        """It has shown that it is there: whoever suspected it was wrong."""
+        """It has shown to be there, and that the way to it is sound."""
         peer.heard_at = self.now
+        self.candidates.pop(peer.address, None)
+        if peer.gone or peer.since >= 0 or peer.failed:
+            self.well(peer)
+
+    def well(self, peer: Peer) -> None:
+        """It lives: whoever suspected it was wrong."""
         peer.failed = 0
+        peer.since = -1
         if peer.gone:
             peer.gone = False
             peer.told_version = 0
             self.telling.appendleft(peer)
             self.came.append(peer.name)
-            self.spread(Told.HERE, peer.name, peer.incarnation, peer.address)
-            # What has healed for one may have for others.
-            for other in self.peers.values():
-                if other.gone:
-                    self.look_again(other)
-        if peer.voices:
-            self.judge(peer, wrong=True)
+            if peer.link:
+                self.tell_life(peer.key, LIFE_TOLD)
+        for voice in peer.voices:
+            self.was_wrong(voice)
+        peer.voices.clear()
         peer.suspect = False
-        self.candidates.pop(peer.address, None)
+        peer.due = -1
+        peer.nonce = 0  # a look under way: its answer may be what is late
+        if peer.name in self.rumours and self.rumours[peer.name][0].told != Told.HERE:
+            del self.rumours[peer.name]
 
-    def judge(self, peer: Peer, wrong: bool) -> None:
+    def was_wrong(self, voice: str) -> None:
         """Guards against one that calls everybody dead: it is not heeded for a while."""
-        for voice in peer.voices:
-            last = self.suspicions.setdefault(voice, deque(maxlen=TRUST))
-            last.append(wrong)
-            if sum(last) >= MOST_WRONG:
-                last.clear()
-                self.unheeded[voice] = self.now + HEED_AGAIN
-                self.log(f"peer {voice} is not heeded for a minute: {MOST_WRONG} wrong suspicions", "heed")
-        peer.voices.clear()
+        if not self.wrongs.setdefault(voice, Window(MOST_WRONG - 1, WRONG_WITHIN)).take(self.now, 1):
+            del self.wrongs[voice]
+            self.unheeded[voice] = self.now + HEED_AGAIN
+            self.log(f"peer {voice} is not heeded for a minute: {MOST_WRONG} wrong suspicions", "heed")
 
     # Looks
 
@@ -600,7 +773,10 @@
             if 0 <= peer.due <= self.now and not peer.nonce:
                 self.look(peer)
             if not peer.nonce and peer.due < 0:
-                del self.looking[name]
+                if peer.since < 0:
+                    del self.looking[name]
+                else:
+                    self.weigh(peer)
         if self.now >= self.probe_at:
             self.probe_at = self.now + self.stated.period
             self.probe()
@@ -616,6 +792,7 @@
         for peer in self.looking.values():
             peer.nonce = 0
             peer.due = -1
+            peer.since = -1
             peer.failed = 0
         self.asked.clear()
         self.log(f"late by {late / SECOND:.1f} s; judgement of peers rests for {QUIET // SECOND} s", "late")
@@ -626,20 +803,26 @@
         self.log(f"flooded; judgement of peers rests until {QUIET // SECOND} s after", "deaf")
 
     def probe(self) -> None:
-        """One that is here, and one that is gone, each the one not heard of or looked at for longest."""
+        """One that is here, and one that is gone, each by chance.
+
+        Guards against rounds: where all look at who was not heard for longest, nobody looks at one just dead.
+        """
         for peer in [one for one in self.peers.values() if one.gone and self.now - one.gone_at > REMEMBER]:
             self.forget(peer)
         for gone in (False, True):
             among = [
                 peer for peer in self.peers.values() if peer.gone is gone and not peer.nonce and peer.due < 0
             ]
-            # All together look at one that is gone about once a period, or what comes back drowns.
-            if among and (not gone or self.uniform(0, len(self.peers)) < len(among)):
-                self.look(min(among, key=lambda peer: max(peer.heard_at, peer.looked_at)))
+            # All together look at each about once a period: or what comes back drowns, or, where all have yet
+            # to meet, those few whom everybody met first.
+            fleet = len(self.peers) + (0 if gone else len(self.candidates))
+            if among and self.uniform(0, fleet) < len(among):
+                self.look(self.sample(among, 1)[0])
 
-    def look(self, peer: Peer) -> None:
+    def look(self, peer: Peer, doubts: bytes = b"") -> None:
         nonce = self.bits(NONCE) + 1
-        if not self.ping(peer.address, peer.token, nonce):
+        doubts = doubts or self.doubts(DOUBTS_ASKED, peer)
+        if not self.ping(peer.address, peer.token, nonce, doubts=doubts):
             self.want_look(peer)
             return
         peer.due = -1
@@ -655,9 +838,9 @@
             return
         if peer.gone:
             peer.nonce = 0
-        elif waited >= 2 * within:
-            self.look_failed(peer)
-        elif not peer.through and not peer.failed % 2 and len(self.looking) <= BUSY:
+        elif waited >= 2 * within or peer.since >= 0 and not peer.suspect:
+            self.look_failed(peer)  # for hearsay nobody is asked to help: a proof of life is what helps
+        elif not peer.through and (peer.since < 0 or not peer.failed % 2) and not self.many_suspect():
             # Guards against a fleet cut in two that spends all it may send on questions about the other half.
             others = [
                 one
@@ -677,27 +860,56 @@
         if self.now < self.quiet_until:
             return
         peer.failed += 1
+        if peer.since < 0 and peer.failed <= self.likely_lost():
+            # Guards against a fleet that is busy, or loses much, and drowns in doubts of each other.
+            self.want_look(peer)
+            return
         if not peer.suspect:
             peer.suspect = True
+            first = peer.since < 0
+            peer.since = self.now if first else peer.since
             self.spread(Told.SUSPECT, peer.name, peer.incarnation)
+            if first:
+                self.hurry()
+        self.weigh(peer)
+
+    def weigh(self, peer: Peer) -> None:
+        """One in doubt at which no look is under way: another look, or the verdict once a proof had time."""
+        if peer.failed < self.looks_wanted(peer):
+            self.want_look(peer, len(self.peers) * AGAIN_SPREAD)
+        elif self.now - peer.since >= self.patience() and self.now >= self.quiet_until:
+            self.call_gone(peer)
+
+    def looks_wanted(self, peer: Peer) -> int:
+        """That have to fail, one after the other: more by what was lost on the way lately."""
         others = sum(not (one.gone or one.suspect) for one in self.peers.values())
         agreed = others and len(peer.voices) >= min(VOICES, others)
-        wanted = (LOOKS if agreed else 2 * LOOKS) + int(LOSS_WEIGHT * sum(self.lost) / LOSSES)
-        if peer.failed < wanted:
-            self.want_look(peer, len(self.peers) * AGAIN_SPREAD)
-            return
+        return (1 if agreed else LOOKS) + self.likely_lost()
+
+    def likely_lost(self) -> int:
+        """Looks whose failing tells nothing, by what was lost on the way lately."""
+        return int(LOSS_WEIGHT * sum(self.lost) / LOSSES)
+
+    def call_gone(self, peer: Peer) -> None:
         peer.gone = True
         peer.gone_at = self.now
-        self.judge(peer, wrong=False)
+        peer.since = -1
+        peer.due = -1
+        peer.voices.clear()
         self.ledger.drop(peer.name)
         self.went.append(peer.name)
         self.spread(Told.GONE, peer.name, peer.incarnation)
+        if not self.lost_many.take(self.now, 1) and self.now - self.sure_at >= SURE_EVERY:
+            # Those who lost it can then hear of its life from anybody, as soon as they hear of one again.
+            self.sure_at = self.now
+            self.prove_life()
 
     # Those not met yet
 
     def meet(self) -> None:
         if self.now >= self.join_at:
-            self.join_at = self.now + JOIN_EVERY
+            self.joins += 1
+            self.join_at = self.now + int(JOIN_EVERY * self.uniform(1, 1 + self.joins))
             again = self.now >= self.rejoin_at
             if again:
                 self.rejoin_at = self.now + REJOIN_EVERY
