Peers: tests of proofs of life, three more mutants caught; news goes in larger datagrams

A forged or repeated proof changes nothing and its teller is not heeded; a proof passed on saves one that can't be reached; a process whose links are used up is met anew. Mutants (any proof taken, an old one brings back, proofs not passed on) are caught.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -13,6 +13,7 @@
 from thymedeck.lab.talk import KEYS, SECOND, Talk, address
 from thymedeck.peers import node as decisions
 from thymedeck.peers.ledger import Ledger
+from thymedeck.peers.lives import KEY, LINK, Chain, ahead, makes, proof
 from thymedeck.peers.messages import (
     LARGEST,
     LATEST,
@@ -166,6 +167,60 @@
     bounded(talk)
 
 
+def test_nobody_proves_the_life_of_another() -> None:
+    talk = met()
+    hostile = Hostile(talk, 7)
+    at, victim = talk.node(0), talk.node(3)
+    hostile.say(victim, rumours=[Rumour(Told.SUSPECT, "b3", victim.incarnation)])
+    talk.run(SECOND)
+    old = at.proof_of(victim.key)
+    assert victim.incarnation % STEP == at.peers["b3"].number == 1 and old[KEY + 1 :] == victim.chain.link(1)
+    talk.kill(3)
+    assert talk.run_until(lambda: not talk.holders("b3"), 5 * SECOND) >= 0
+    ago = len(talk.logs)
+    for again in range(40):
+        for one in (talk.node(n) for n in (0, 1, 2, 4, 5, 6)):
+            hostile.say(one, lives=old + proof(victim.key, 2 + again, bytes(LINK)))
+        talk.run(SECOND // 10)
+        assert not talk.holders("b3")
+    assert at.counted["no proof of life"] and any(
+        "b7 is not heeded" in text for _, _, text in talk.logs[ago:]
+    )
+    bounded(talk)
+
+
+def test_a_proof_that_others_pass_on_saves_one_that_can_not_be_reached() -> None:
+    talk = met()
+    talk.between(0, 30 * SECOND, "b1", "b2", cut=True)
+    talk.between(0, 30 * SECOND, "b2", "b1", cut=True)
+    at = talk.node(1)
+    for voice in (6, 7):
+        doubted = at.peers["b2"].incarnation
+        Hostile(talk, voice).say(at, rumours=[Rumour(Told.SUSPECT, "b2", doubted)])
+    talk.run(3 * SECOND)
+    assert not at.peers["b2"].gone and at.peers["b2"].number == talk.node(2).incarnation % STEP > 0
+
+
+def test_one_whose_links_are_used_up_is_met_anew(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(decisions, "LENGTH", 2)
+    talk = met()
+    first = talk.node(3).incarnation // STEP
+    for _ in range(4):
+        Hostile(talk, 7).say(talk.node(3), rumours=[Rumour(Told.GONE, "b3", talk.node(3).incarnation)])
+        talk.run(2 * SECOND)
+    assert talk.node(3).incarnation // STEP == first + 1
+    assert talk.run_until(talk.agree, 10 * SECOND) >= 0
+
+
+@given(secret=st.binary(min_size=8, max_size=32), known=st.integers(0, 600), more=st.integers(0, 600))
+def test_a_later_link_makes_the_earlier_and_no_other_does(secret: bytes, known: int, more: int) -> None:
+    chain, later = Chain(secret), known + more
+    steps = ahead(later % 256, known)
+    assert steps == (more if more <= 128 else 0 if more % 256 > 128 else more % 256)
+    assert makes(chain.link(later), more, chain.link(known))
+    assert not makes(chain.link(known), more + 1, chain.link(later))
+
+
 def test_nobody_changes_what_another_has_told() -> None:
     talk = met()
     hostile = Hostile(talk, 7)
@@ -369,6 +424,20 @@
         lambda patch: patch.setattr(Peers, "want_look", lambda node, peer, spread=0: node.look_failed(peer)),
         test_one_with_the_key_that_calls_all_others_dead_does_no_harm,
     ),
+    "any proof is taken": (
+        lambda patch: patch.setattr(decisions, "makes", lambda link, steps, earlier: True),
+        test_nobody_proves_the_life_of_another,
+    ),
+    "an old proof brings back": (
+        lambda patch: patch.setattr(
+            Peers, "take_lives", rewritten(Peers.take_lives, "not steps or", "peer is None or steps and")
+        ),
+        test_nobody_proves_the_life_of_another,
+    ),
+    "proofs are not passed on": (
+        lambda patch: patch.setattr(Peers, "take_lives", lambda node, lives, by: None),
+        test_a_proof_that_others_pass_on_saves_one_that_can_not_be_reached,
+    ),
     "no rest after standing still": (
         lambda patch: patch.setattr(Peers, "stood_still", lambda node, late: None),
         test_a_third_that_stood_still_calls_nobody_dead,
--- a/thymedeck/peers/node.py
+++ b/thymedeck/peers/node.py
@@ -65,6 +65,7 @@
 AT_ONCE = 3  # peers that are told of a doubt or a proof of life in datagrams of their own
 URGENT = 3  # such datagrams a second
 LIVES_ROOM = 130  # bytes of a datagram, for proofs that are passed on
+NEWS_ROOM = 390  # the same of a datagram that is sent for them
 SUSPECT_TOLD = 2  # the same of a suspicion, times the fleet's logarithm: few have it, and all wait for it
 FEW = 50  # bytes of rumours, whatever the datagram's size
 MOST_KINDS = 4  # of machine, told of
@@ -272,7 +273,8 @@
         if size > room:
             return False
         self.counter += 1
-        size += self.add_lives(message, min(room - size, LIVES_ROOM))
+        news = kind == Kind.COUNTS and message.counts is None
+        size += self.add_lives(message, min(room - size, NEWS_ROOM if news else LIVES_ROOM))
         size += self.add_rumours(message, min(room - size, FEW if self.is_busy() else max(USUAL - size, FEW)))
         self.sent.take(self.now, size)
         self.out.append(Send(address, message))
