--- a/thymedeck/lab/__main__.py
+++ b/thymedeck/lab/__main__.py
@@ -25,21 +25,22 @@
         "--quiet", type=float, default=60.0, help="seconds of nothing, 5 %% and 20 %% lost, each"
     )
     peers.add_argument("--processes", action="store_true", help="real daemons on loopback, with and without")
+    peers.add_argument("--acquainted", action="store_true", help="all have met each other at the start")
     given = parser.parse_args()
     if given.command == "peers" and given.processes:
         for size in given.balancers:
             print("\n".join(measure_processes(size, given.seed, round(given.quiet * talk.SECOND))))
         return 0
     if given.command == "peers":
-        return measure_peers(given.balancers, given.seed, given.quiet)
+        return measure_peers(given.balancers, given.seed, given.quiet, given.acquainted)
     return run_scenario(given)
 
 
-def measure_peers(sizes: list[int], seed: int, quiet: float) -> int:
+def measure_peers(sizes: list[int], seed: int, quiet: float, acquainted: bool) -> int:
     """A row as soon as a size is measured."""
     print("| " + " | ".join(talk.HEADS) + " |\n" + "| --- " * len(talk.HEADS) + "|")
     for size in sizes:
-        figures = talk.measure(size, seed, round(quiet * talk.SECOND))
+        figures = talk.measure(size, seed, round(quiet * talk.SECOND), acquainted)
         print("| " + " | ".join(talk.row(figures)) + " |", flush=True)
     return 0
 
--- a/thymedeck/lab/talk.py
+++ b/thymedeck/lab/talk.py
@@ -15,7 +15,7 @@
 from msgspec import Struct
 
 from ..peers.messages import Counts, Envelope, Unusable
-from ..peers.node import TICK, Peers
+from ..peers.node import TICK, Peer, Peers
 from ..peers.stated import Stated
 from ..peers.words import Came, Counted, Event, Leaving, Log, Send, Tick
 from .faults import Fault, Faults
@@ -104,6 +104,17 @@
         self.after(self.chance.randrange(SECOND), lambda: self.recount(key, node))
         return node
 
+    def acquaint(self) -> None:
+        """As if all had met each other: for sizes at which that takes longer than what is to be seen."""
+        for where, node in self.nodes.items():
+            for other in self.nodes.values():
+                if other is not node:
+                    peer = Peer(other.name, other.stated.advertise, other.incarnation, self.now)
+                    peer.token, peer.link = other.token_for(where), other.chain.link(0)
+                    node.peers[peer.name] = node.by_key[peer.key] = peer
+                    node.telling.append(peer)
+            self.chance.shuffle(node.telling)
+
     def after(self, wait: int, call: Callable[[], None]) -> None:
         self.count += 1
         heapq.heappush(self.heap, (self.now + wait, self.count, call))
@@ -291,10 +302,12 @@
     ]
 
 
-def measure(balancers: int, seed: int, quiet: int) -> Figures:
-    """`quiet`: how long each of the three kinds of loss is watched."""
+def measure(balancers: int, seed: int, quiet: int, acquainted: bool = False) -> Figures:
+    """`quiet`: how long each of the three kinds of loss is watched; `acquainted`: all have met before."""
     talk = Talk(balancers, seed)
-    met = talk.run_until(talk.agree, 300 * SECOND)
+    if acquainted:
+        talk.acquaint()
+    met = -SECOND if acquainted else talk.run_until(talk.agree, 300 * SECOND)
     talk.run(30 * SECOND)
     spent, since = talk.spent, {key: len(sends) for key, sends in talk.sent.items()}
     false = []
--- a/thymedeck/peers/node.py
+++ b/thymedeck/peers/node.py
@@ -805,10 +805,7 @@
         self.log(f"flooded; judgement of peers rests until {QUIET // SECOND} s after", "deaf")
 
     def probe(self) -> None:
-        """One that is here, and one that is gone, each by chance.
-
-        Guards against rounds: where all look at who was not heard for longest, nobody looks at one just dead.
-        """
+        """One that is here, and one that is gone."""
         for peer in [one for one in self.peers.values() if one.gone and self.now - one.gone_at > REMEMBER]:
             self.forget(peer)
         for gone in (False, True):
@@ -819,7 +816,19 @@
             # to meet, those few whom everybody met first.
             fleet = len(self.peers) + (0 if gone else len(self.candidates))
             if among and self.uniform(0, fleet) < len(among):
-                self.look(self.sample(among, 1)[0])
+                self.look(self.whose_turn(among))
+
+    def whose_turn(self, among: list[Peer]) -> Peer:
+        """The one as many places after this balancer, in the order of names, as there were periods.
+
+        So each is looked at by one other in each period, and by all in turn. Guards against chance, by which
+        some are looked at by nobody for seconds, and against all looking at who was not heard for longest, which
+        one just dead is not. Clocks that differ make it as uneven as chance would.
+        """
+        ring = sorted([self.name, *(peer.name for peer in self.here())])
+        turns = self.unix_now() * 10 // self.stated.period
+        name = ring[(ring.index(self.name) + 1 + turns % max(len(ring) - 1, 1)) % len(ring)]
+        return next((peer for peer in among if peer.name == name), None) or self.sample(among, 1)[0]
 
     def look(self, peer: Peer, doubts: bytes = b"") -> None:
         nonce = self.bits(NONCE) + 1
