--- a/thymedeck/peers/node.py
+++ b/thymedeck/peers/node.py
@@ -543,7 +543,8 @@
             self.log(f"no room for more than {self.stated.peers_most} peers: {name} is left out", "room")
             return None
         if known is not None:
-            self.forget(known)
+            # All but what it did: guards against a liar that starts again to be heeded again.
+            self.drop_process(known)
         peer = self.peers[name] = Peer(name, address, message.incarnation, self.now)
         self.by_key[peer.key] = peer
         self.ledger.drop(name)
@@ -565,11 +566,14 @@
 
     def forget(self, peer: Peer) -> None:
         del self.peers[peer.name]
+        self.drop_process(peer)
+        self.wrongs.pop(peer.name, None)
+        self.unheeded.pop(peer.name, None)
+
+    def drop_process(self, peer: Peer) -> None:
         self.by_key.pop(peer.key, None)
         self.lives.pop(peer.key, None)
         self.looking.pop(peer.name, None)
-        self.wrongs.pop(peer.name, None)
-        self.unheeded.pop(peer.name, None)
 
     def answer(self, peer: Peer, message: Message) -> None:
         more: dict[str, object] = {"nonce": message.nonce, "given": self.token_for(peer.address)}
@@ -822,8 +826,8 @@
         """The one as many places after this balancer, in the order of names, as there were periods.
 
         So each is looked at by one other in each period, and by all in turn. Guards against chance, by which
-        some are looked at by nobody for seconds, and against all looking at who was not heard for longest, which
-        one just dead is not. Clocks that differ make it as uneven as chance would.
+        some are looked at by nobody for seconds, and against all looking at who was not heard for longest, for
+        one that has just died was heard. Clocks that differ make it as uneven as chance would.
         """
         ring = sorted([self.name, *(peer.name for peer in self.here())])
         turns = self.unix_now() * 10 // self.stated.period
