--- a/thymedeck/peers/node.py
+++ b/thymedeck/peers/node.py
@@ -826,7 +826,7 @@
         """The one as many places after this balancer, in the order of names, as there were periods.
 
         So each is looked at by one other in each period, and by all in turn. Guards against chance, by which
-        some are looked at by nobody for seconds, and against all looking at who was not heard for longest, for
+        some are looked at by nobody for seconds, and against all looking at who was not heard for longest:
         one that has just died was heard. Clocks that differ make it as uneven as chance would.
         """
         ring = sorted([self.name, *(peer.name for peer in self.here())])
