--- a/thymedeck/peers/lives.py
+++ b/thymedeck/peers/lives.py
@@ -46,14 +46,14 @@
         return self.links[number]
 
 
-def proof(key: bytes, number: int, link: bytes) -> bytes:
-    return key + bytes((number % 256,)) + link
-
-
 def doubt(key: bytes, number: int) -> bytes:
     return key + bytes((number % 256,))
 
 
+def proof(key: bytes, number: int, link: bytes) -> bytes:
+    return doubt(key, number) + link
+
+
 def ahead(last_byte: int, number: int) -> int:
     """How far the number that ends so is ahead of this one; none if it is not, or lies further back."""
     steps = (last_byte - number) % 256
--- a/thymedeck/peers/node.py
+++ b/thymedeck/peers/node.py
@@ -346,7 +346,7 @@
 
     def spread(self, told: Told, name: str, incarnation: int, address: str = "") -> None:
         self.rumours.pop(name, None)
-        times = SUSPECT_TOLD * ceil(log2(2 + len(self.peers))) if told == Told.SUSPECT else TOLD
+        times = SUSPECT_TOLD * self.rounds() if told == Told.SUSPECT else TOLD
         self.rumours[name] = (Rumour(told, name, incarnation, address), times)
 
     def ping(self, address: str, token: bytes, nonce: int, keep: float = 0.0, **more: object) -> bool:
@@ -635,7 +635,7 @@
     # What is said of others
 
     def hear(self, rumour: Rumour, by: Peer) -> None:
-        """Looks into it; it goes on to others only if this balancer finds it to be so."""
+        """Looks into it. But for doubts, it goes on to others only if this balancer finds it to be so."""
         if rumour.name == self.name:
             if rumour.told != Told.HERE:
                 if self.now >= self.unheeded.get(by.name, 0):
@@ -679,8 +679,12 @@
             peer.due = self.now + int(self.uniform(LOOK_FROM * patience, LOOK_TO * patience))
             self.looking[peer.name] = peer
 
+    def rounds(self) -> int:
+        """In which news that each passes on to one more is with the whole fleet."""
+        return ceil(log2(2 + len(self.peers)))
+
     def patience(self) -> int:
-        return PATIENCE * ceil(log2(2 + len(self.peers)))
+        return PATIENCE * self.rounds()
 
     def turn_of(self, name: str) -> int:
         """One of the two asks, the other only if that has not come about."""
@@ -721,7 +725,7 @@
             self.become(self.incarnation // STEP + 1)
             return
         self.incarnation += 1
-        self.tell_life(self.key, LIFE_TOLD * ceil(log2(2 + len(self.peers))))
+        self.tell_life(self.key, LIFE_TOLD * self.rounds())
         self.hurry(own=True)
 
     def become(self, process: int) -> None:
