After standing still in the middle of a turn too, what waits is read before timers

Seen by reading, confirmed by forced crossings on real sockets (tests/crossings.py steps the real Service turn by turn): a server's UP that came while another connection was handled for 0.4 s was thrown away by the limit of its dial, and a first line whose last byte came so was closed without an answer. At fault: Loop.turn in net/loop.py looked a second time only when its first look had found nothing. Change: it looks again whenever timers are over 0.1 s late, whatever was found before. Both scenarios failed without the change (up_as_limit_passes, no_line_as_it_ends). list_cut_off, list_answer_and_end, stop_dial_sent and move_never_ends are moments without a fault, kept as rows.

--- /dev/null
+++ b/tests/crossings.py
@@ -0,0 +1,351 @@
+"""Plays a crossing: the program's own Service on real loopback sockets, its loop turned by hand.
+
+Nothing happens between two steps: the program's clock stands unless a step moves it, and what a peer does is
+known to have arrived before the loop turns again. Steps are those of NetPlay, and:
+
+    client N knocks          connects, and waits to be taken in; `connects` and `opens` turn until it is
+    client N arrives         what that client did (bytes, an end, a reset) waits to be read by the program
+    server N accepts [A]     a dial has come up, which the program has not heard of yet
+    server N reads N2        the line of that dial comes, for the session of client N2
+    server N silent          nothing has come on that connection, and it goes on
+    server N arrives, list arrives, list unseen (no call waits there)
+    turn [COUNT]             the loop turns so often and waits for nothing
+    first client|server N    of what is ready in one turn that comes first; or `first door`
+    later MS                 the clock moves on with no turn, as if the process had stood still
+    passes MS                the clock moves on in small steps, the loop turning at each
+    within MS STEP           in the middle of the next turn, before it reads, this step and so much time
+    full A, full list        connections to that server, or to discovery, no longer come up
+    server N stuffs          sends lines as long as any are taken; `client N drains` reads them
+    list indents KIND N ...  `list says` with a list of over 100 kB
+    stop, reload same|other  SIGTERM and SIGHUP are heard
+    breaks ACTION            the next such action of the decisions fails in the service
+    ended                    the service has stopped within ten seconds, and the process is gone
+    log no PATTERN           no such line since the last one that was looked for
+"""
+
+import contextlib
+import json
+import select
+import selectors
+import socket
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from thymedeck.net.connection import Connection
+from thymedeck.net.service import Service
+from thymedeck.net.system import System
+from thymedeck.net.told import read_start
+
+from .helpers import PATIENCE, NetPlay, Peer, fnmatch
+
+STUFF = b"x" * 98 + b"\r\n"
+STEP = 10  # milliseconds, of `passes`
+UNTIL_ENDED = 10_000
+
+
+class Ordered(selectors.DefaultSelector):
+    """Tells what is ready in any order, as the system's own may: what the step names comes first."""
+
+    first: object = None
+
+    def select(self, timeout: float | None = None) -> list:
+        return sorted(super().select(timeout), key=lambda one: one[0].data is not self.first)
+
+
+class StoodClock(System):
+    """The machine's sockets, and a clock that only a step moves."""
+
+    selector = staticmethod(Ordered)
+
+    def __init__(self) -> None:
+        self.now_ns = 1_800_000_000_000_000_000
+        self.lines: list[str] = []
+
+    def monotonic_ns(self) -> int:
+        return self.now_ns
+
+    time_ns = monotonic_ns
+
+    def log(self) -> Callable[[bytes], int]:
+        return lambda line: self.lines.append(line.decode().rstrip()) or len(line)
+
+
+class StepPeer(Peer):
+    def __init__(self, sock: socket.socket, pump: Callable[[Callable[[], object], str], None]) -> None:
+        super().__init__(sock)
+        self.pump = pump
+
+    def line(self) -> str:
+        while b"\r\n" not in self.held:
+            self.pump(lambda: select.select([self.sock], [], [], 0)[0], f"nothing came, held {self.held!r}")
+            try:
+                got = self.sock.recv(65536)
+            except ConnectionError:
+                return "reset"
+            if not got:
+                return "end" if not self.held else f"end after {self.held!r}"
+            self.held += got
+        line, _, self.held = self.held.partition(b"\r\n")
+        return line.decode()
+
+
+class Crossing(NetPlay):
+    def __init__(self, path: Path) -> None:
+        super().__init__(path)
+        self.system = StoodClock()
+        self.service: Service | None = None
+        self.ends: dict[int, Connection] = {}  # by the peer's descriptor, the program's end
+
+    # Turning
+
+    def turn(self) -> None:
+        if not self.service.loop.running:
+            self.go()  # the process has ended
+            return
+        self.service.loop.after(0, lambda: None)  # so that it waits for nothing
+        self.service.loop.turn()
+
+    def pump(self, is_so: Callable[[], object], else_say: str) -> None:
+        until = time.monotonic() + PATIENCE
+        while not is_so():
+            assert time.monotonic() < until, else_say
+            self.turn()
+
+    def on_turn(self, count: str = "1") -> None:
+        for _ in range(int(count)):
+            self.turn()
+
+    def on_later(self, span: str) -> None:
+        self.system.now_ns += int(float(span) * 1e6)
+
+    def on_passes(self, span: str) -> None:
+        for _ in range(0, int(span), STEP):
+            self.on_later(str(STEP))
+            self.turn()
+
+    def on_within(self, span: str, step: str) -> None:
+        """The process stands still in the middle of a turn."""
+        plain = Connection.read
+
+        def stood(one: Connection) -> None:
+            Connection.read = plain
+            kind, *words = step.split(maxsplit=2)
+            self.step(kind, words)
+            self.on_later(span)
+            plain(one)
+
+        Connection.read = stood
+
+    def on_first(self, whose: str, name: str = "") -> None:
+        peers = self.clients if whose == "client" else self.dials
+        first = self.service.door if whose == "door" else self.ends[id(peers[name])]
+        self.service.loop.selector.first = first
+
+    def on_full(self, what: str) -> None:
+        door = self.discovery if what == "list" else self.doors[what]
+        door.listen(0)
+        while True:
+            sock = socket.socket()
+            sock.setblocking(False)
+            sock.connect_ex(door.getsockname())
+            self.crowd.append(sock)
+            if not select.select([], [sock], [], 0.05)[1]:
+                return
+
+    def arrived(self, end: Connection) -> None:
+        assert select.select([end.sock], [], [], PATIENCE)[0], "it does not arrive"
+
+    # The program
+
+    def told(self) -> str:
+        told = json.loads(super().told())
+        if self.descriptors:
+            told["limits"] = {"sockets": self.descriptors}
+        return json.dumps(told)
+
+    def on_start(self) -> None:
+        self.file.write_text(self.told())
+        self.service = Service(read_start(str(self.file)), self.system)
+        self.service.loop.running = True
+        self.service.open()
+        self.address = self.service.door.sock.getsockname()
+
+    def on_stop(self) -> None:
+        self.service.stop()
+
+    def on_reload(self, what: str) -> None:
+        if what == "same":
+            self.file.write_text(self.told())
+        else:
+            self.discovery = self.listen()
+            self.calls = []
+            self.file.write_text(self.told())
+        self.service.reload()
+
+    def on_breaks(self, name: str) -> None:
+        plain = self.service.carry_out
+
+        def broken(action: object) -> None:
+            if type(action).__name__ == name:
+                self.service.carry_out = plain
+                raise ValueError("broken for the test")
+            plain(action)
+
+        self.service.carry_out = broken
+
+    def on_ended(self) -> None:
+        for _ in range(0, UNTIL_ENDED, STEP):
+            if not self.service.loop.running:
+                break
+            self.on_passes(str(STEP))
+        assert not self.service.loop.running, "it goes on"
+        self.turn()
+
+    def go(self) -> None:
+        """What the system does with the sockets of a process that has ended."""
+        self.service.loop.running = False
+        for key in list(self.service.loop.selector.get_map().values()):
+            sock = getattr(key.data, "sock", None)
+            if sock is not None:
+                self.service.loop.selector.unregister(key.fileobj)
+                sock.close()
+
+    def run(self) -> None:
+        read = Connection.read
+        try:
+            super().run()
+        finally:
+            Connection.read = read
+            if self.service is not None:
+                self.go()
+                self.service.loop.selector.close()
+
+    # Peers
+
+    def connect(self) -> socket.socket:
+        return socket.create_connection(self.address[:2], timeout=PATIENCE)
+
+    def taken_in(self, sock: socket.socket) -> Connection | None:
+        for key in self.service.loop.selector.get_map().values():
+            end = getattr(key.data, "sock", None)
+            if isinstance(key.data, Connection) and self.peer_of(end) == sock.getsockname():
+                return key.data
+        return None
+
+    @staticmethod
+    def peer_of(sock: socket.socket) -> object:
+        try:
+            return sock.getpeername()
+        except OSError:
+            return None
+
+    def on_client(self, name: str, rest: str) -> None:
+        verb, _, text = rest.partition(" ")
+        if verb in ("opens", "connects", "knocks"):
+            peer = self.clients[name] = StepPeer(self.connect(), self.pump)
+            if verb != "knocks":
+                self.pump(lambda: self.taken_in(peer.sock), "it is not taken in")
+                self.ends[id(peer)] = self.taken_in(peer.sock)
+            if verb == "opens":
+                peer.act("says", f"OPEN id{name} key{name} {text}")
+        elif verb == "arrives":
+            self.arrived(self.ends[id(self.clients[name])])
+        elif verb == "drains":
+            server = self.dials[name].sock
+            server.setblocking(False)
+            self.drain(self.clients[name], server)
+            server.setblocking(True)
+        else:
+            self.clients[name].act(verb, text)
+
+    def on_server(self, name: str, rest: str) -> None:
+        verb, _, text = rest.partition(" ")
+        if verb in ("dialled", "accepts"):
+            doors = [door for at, door in self.doors.items() if not text or at == text]
+            self.pump(lambda: select.select(doors, [], [], 0)[0], "no dial")
+            sock = select.select(doors, [], [], 0)[0][0].accept()[0]
+            peer = self.dials[name] = StepPeer(sock, self.pump)
+            self.ends[id(peer)] = self.taken_in(sock)
+        if verb in ("dialled", "reads"):
+            line = self.dials[name].line()
+            of = text if verb == "reads" else name
+            assert line.startswith(f"OPEN id{of} key{of} "), line
+            self.figures = line.split()[3]
+        elif verb == "arrives":
+            self.arrived(self.ends[id(self.dials[name])])
+        elif verb == "stuffs":
+            self.left = STUFF * 200_000
+            self.dials[name].sock.setblocking(False)
+            idle = 0
+            while idle < 20:
+                self.turn()
+                idle = 0 if self.stuff(self.dials[name].sock) else idle + 1
+            self.left = self.left[: len(self.left) % len(STUFF)]  # no more than the rest of this line
+            self.dials[name].sock.setblocking(True)
+        elif verb == "silent":
+            assert not select.select([self.dials[name].sock], [], [], 0)[0], "something came"
+        elif verb != "accepts":
+            self.dials[name].act(verb, text)
+
+    def stuff(self, sock: socket.socket) -> int:
+        try:
+            sent = sock.send(self.left)
+        except BlockingIOError:
+            return 0
+        self.left = self.left[sent:]
+        return sent
+
+    def drain(self, client: StepPeer, server: socket.socket) -> None:
+        """Reads what was stuffed, up to another line, or until nothing more of it comes."""
+        idle = 0
+        while idle < 20:
+            with contextlib.suppress(ConnectionError):
+                self.stuff(server)
+            self.turn()
+            idle += 1
+            if select.select([client.sock], [], [], 0)[0]:
+                got = client.sock.recv(1 << 20)
+                client.held = (client.held + got).replace(STUFF, b"")
+                idle = idle if b"\n" in client.held or not got else 0
+
+    # The list
+
+    def on_list(self, verb: str, text: str = "") -> None:
+        if verb == "arrives":
+            self.arrived(self.service.follower.call)
+        elif verb == "indents":
+            version, _, *rows = text.split()
+            entries = [self.entry(*row.split(":")) for row in rows]
+            self.reply("200 OK", json.dumps({"version": int(version), "servers": entries}, indent=9_000))
+        elif verb == "unseen":
+            assert not select.select([self.discovery], [], [], 0)[0], "a call waits"
+        elif verb == "asked":
+            if not self.calls or self.calls[-1].sock.fileno() < 0:
+                self.take_call()
+            call = self.calls[-1].line()
+            if call in ("end", "reset"):
+                self.take_call()
+                call = self.calls[-1].line()
+            while self.calls[-1].line():
+                pass
+            assert fnmatch(call, f"GET {text} HTTP/1.1"), call
+        else:
+            super().on_list(verb, text)
+
+    def take_call(self) -> None:
+        self.pump(lambda: select.select([self.discovery], [], [], 0)[0], "no call")
+        self.calls.append(StepPeer(self.discovery.accept()[0], self.pump))
+
+    # The log
+
+    def on_log(self, *words: str) -> None:
+        pattern = " ".join(words)
+        if words[0] == "no":
+            pattern = pattern.removeprefix("no ")
+            found = [line for line in self.system.lines if fnmatch(line, pattern)]
+            assert not found, found
+            return
+        self.pump(lambda: any(fnmatch(line, pattern) for line in self.system.lines), f"no {pattern}")
+        at = next(at for at, line in enumerate(self.system.lines) if fnmatch(line, pattern))
+        del self.system.lines[: at + 1]
--- a/thymedeck/net/loop.py
+++ b/thymedeck/net/loop.py
@@ -81,25 +81,27 @@
             heapq.heappop(timers)
         # A timer is never early: what is left of its tenth is waited for too.
         wait = max(timers[0][0] + 1 - self.now(), 0) / 10_000 if timers else None
-        found = self.selector.select(wait)
-        if not found and timers and self.now() - timers[0][0] > LATE:
-            # Guards against what waits to be read being taken for missing: a wait in which this process stood
-            # still ends with nothing found.
-            found = self.selector.select(0)
+        self.serve(self.selector.select(wait))
+        if timers and self.now() - timers[0][0] > LATE:
+            # Guards against what waits to be read being taken for missing: this process stood still, in its
+            # wait or in the middle of its turn.
+            self.serve(self.selector.select(0))
+        now = self.now()
+        while timers and timers[0][0] <= now:
+            call = heapq.heappop(timers)[2].call
+            if call is not None:
+                self.guard(call)
+
+    def serve(self, found: list[tuple[selectors.SelectorKey, int]]) -> None:
         if len(found) > 1 and self.first is not None:
             # Guards against sessions sent by a list that is old where what is new waits to be read, as after
             # this process stood still.
             found.sort(key=lambda one: one[0].data is not self.first)
         for key, mask in found:
             self.guard(key.data.ready, mask)
-        now = self.now()
-        while timers and timers[0][0] <= now:
-            call = heapq.heappop(timers)[2].call
-            if call is not None:
-                self.guard(call)
 
-    def guard(self, call: Callable[..., None], *given: int) -> None:
-        """Guards against one connection whose handling fails and stops all others."""
+    def guard(self, call: Callable[..., None], *given: object) -> None:
+        """Guards against one connection or action whose handling fails and stops all others."""
         try:
             call(*given)
         except Exception as fault:
