As a dial comes up the client's end is read first, and a server that drains by then gets nothing

Seen by forced crossings: with a client's end (or reset) and its dial's "up" ready in one turn, or after the process stood still, the line was sent on for a client that had left; with a list that drains the server and the dial's "up" in one turn, the line went to the draining server, which breaks the rule if the grace is over. At fault: Dialled.on_up in net/servers.py looked at neither. A write that failed lost the server's last word. Change: on_up reads what waits of the client, and ends the dial as OVERTAKEN (never sent) if the list says so by now; a server missing from a whole list is noted as gone.

--- a/thymedeck/net/connection.py
+++ b/thymedeck/net/connection.py
@@ -55,6 +55,10 @@
     def on_broken(self) -> None:
         """The connection is gone, or never came up."""
 
+    def on_unwritable(self) -> None:
+        """The other side takes nothing more."""
+        self.on_broken()
+
     def on_emptied(self) -> None:
         """All that was to be written is written."""
 
@@ -106,7 +110,7 @@
         except (BlockingIOError, InterruptedError):
             pass
         except OSError:
-            self.on_broken()
+            self.on_unwritable()
             return
         if not self.outbound.held:
             if self.end_wanted and not self.end_sent:
--- a/thymedeck/net/endings.py
+++ b/thymedeck/net/endings.py
@@ -9,6 +9,7 @@
     # Of a server's connection before the session stands
     NO_SOCKET = auto()  # none could be opened here
     NOT_UP = auto()  # refused, or not up in time
+    OVERTAKEN = auto()  # up, but by then its server was to get nothing new
     CUT_UNSENT = auto()  # broke or was given up before the line's last byte was written
     CUT_SENT = auto()  # broke or ended after that, with no answer
     GIVEN_UP = auto()  # no answer in time
@@ -33,6 +34,7 @@
 OUTCOMES = {
     Ending.NO_SOCKET: Outcome.UNSENT,
     Ending.NOT_UP: Outcome.UNREACHABLE,
+    Ending.OVERTAKEN: Outcome.UNSENT,
     Ending.CUT_UNSENT: Outcome.UNREACHABLE,
     Ending.CUT_SENT: Outcome.RESET,
     Ending.GIVEN_UP: Outcome.OVERDUE,
--- a/thymedeck/net/servers.py
+++ b/thymedeck/net/servers.py
@@ -60,7 +60,19 @@
         self.await_more()
 
     def on_up(self) -> None:
+        """The line goes now, if it is still to go."""
         self.connect_due.cancel()
+        # Guards against a line sent on for a client whose end has come but waits unread.
+        self.client.read()
+        if self.open and not self.service.may_send(self):
+            self.finish(Ending.OVERTAKEN)
+
+    def on_unwritable(self) -> None:
+        """Guards against a last word lost to the break that a write finds before it is read."""
+        while self.open and self.read():
+            pass
+        if self.open:
+            self.on_broken()
 
     def on_emptied(self) -> None:
         self.sent = True
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -117,6 +117,7 @@
         self.is_able = False
         self.stopping = False
         self.late = False  # the time left is for moving what stands
+        self.closing = False  # and now for what is said last: nothing is sent on any more
         self.door: Door | None = None
         version = -1 if told.known is None else told.known.version
         self.follower = Follower(self, start.discovery, self.site, version)
@@ -157,7 +158,7 @@
     def carry_out(self, action: own.Action) -> None:
         match action:
             case own.Dial():
-                self.dial(self.clients[action.sess], action.server, action.limit)
+                self.dial(action)
             case own.SetTimer():
                 due = own.TimerDue(action.timer, action.index)
                 self.loop.after(action.after, lambda: self.tell(due))
@@ -247,10 +248,18 @@
         client.await_answer(wait * 10)
         self.tell(own.SessionCame(sess, listener, wait * 10, hint, subject, figures.get(b"mid_flow") == b"1"))
 
-    def dial(self, client: Client, server: int, limit: int) -> None:
+    def dial(self, action: own.Dial) -> None:
         self.dials += 1
-        if not self.begin_dial(client, server, self.site.connect_timeout, limit):
-            self.tell(own.DialEnded(client.sess, server, OUTCOMES[Ending.NO_SOCKET], False, None))
+        sess, server = action.sess, action.server
+        client = self.clients.get(sess)  # None: it has left, which is still to be told
+        within = self.site.connect_timeout
+        if client is None or self.closing or not self.begin_dial(client, server, within, action.limit):
+            self.tell(own.DialEnded(sess, server, OUTCOMES[Ending.NO_SOCKET], client is None, None))
+
+    def may_send(self, dial: Dialled) -> bool:
+        """Guards against a line sent to a server that was told to drain while the dial came up."""
+        entry = self.servers[dial.server].entry
+        return dial.client.fixed >= 0 or entry is None or entry.state is own.State.READY
 
     def begin_dial(self, client: Client, server: int, connect_within: int, limit: int) -> bool:
         """Whether there was a socket for it."""
@@ -404,8 +413,9 @@
             self.log("listed", kind=kind.name, server=index, id=row.id, **more)
         if kind is own.ListKind.WHOLE:
             named = {entry.server for entry in entries}
-            for index in range(len(self.servers)):
+            for index, known in enumerate(self.servers):
                 if index not in named:
+                    known.entry = replace(known.entry, state=own.State.GONE)
                     self.drains(index)
         self.tell(own.ServerList(kind, entries))
 
