A fault in one action no longer loses the event's others or what is queued behind

Service.tell in net/service.py ended its whole loop at the first fault: a SetTimer that failed lost the line behind it, and queued events waited for the next one. Each event and each action is guarded now. action_fails failed without it.

--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -148,12 +148,14 @@
         if self.telling:
             return
         self.telling = True
-        try:
-            while self.events:
-                for action in self.balancer.handle(self.loop.now(), self.events.popleft()):
-                    self.carry_out(action)
-        finally:
-            self.telling = False
+        while self.events:
+            self.loop.guard(self.decide, self.events.popleft())
+        self.telling = False
+
+    def decide(self, event: own.Event) -> None:
+        """Guards against an action whose fault loses the event's others."""
+        for action in self.balancer.handle(self.loop.now(), event):
+            self.loop.guard(self.carry_out, action)
 
     def carry_out(self, action: own.Action) -> None:
         match action:
