The stop waits for lines that are coming in and for what is still being said, and refuses truly

Seen by forced crossings: told to stop, the process ended 0.2 s after the last session it knew of. A first line in pieces was cut off, as was MOVE behind a full ring and a server's last words to a slow reader; a line that came after the last answers was dialled and then cut off; a session never sent on was told ERR stopping. At fault: end_when_empty and answer_rest in net/service.py, which knew only `clients`. Change: all open connections of clients are counted (`connected`); from answer_rest on every dial counts as never sent, so that the decisions give the one answer they always give: BUSY where nothing may have run. stop_line_in_pieces, stop_line_too_late, stop_dial_unsent, stop_slow_reader and stop_half_open failed before.

--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -109,6 +109,7 @@
         self.servers: list[Known] = []
         self.clients: dict[int, Client] = {}
         self.idents: set[bytes] = set()  # of these
+        self.connected: set[Client] = set()  # all whose connection is open
         self.loose: dict[Client, None] = {}  # those that no session needs, oldest first
         self.next_sess = 0
         self.dials = 0  # made since the start, but those of sessions that stood before
@@ -277,9 +278,16 @@
         if client.done:
             return
         left = client.fixed_until - self.loop.now()
-        if not self.begin_dial(client, client.fixed, left, left):
+        if self.closing:
+            self.not_up(client)
+        elif not self.begin_dial(client, client.fixed, left, left):
             self.loop.after(FIXED_PAUSE, lambda: self.dial_fixed(client))
 
+    def not_up(self, client: Client) -> None:
+        self.let_go(client.sess)
+        self.tell(own.DialEnded(client.sess, client.fixed, OUTCOMES[Ending.NOT_UP], True, None))
+        client.answer(b"ERR not up\r\n", Ending.ANSWERED)
+
     def stands(self, dial: Dialled, took: int) -> None:
         client = dial.client
         client.stand(dial)
@@ -298,10 +306,8 @@
         if client.fixed >= 0:
             if outcome in own.NEVER_RAN and self.loop.now() + FIXED_PAUSE < client.fixed_until:
                 self.loop.after(FIXED_PAUSE, lambda: self.dial_fixed(client))
-                return
-            self.let_go(client.sess)
-            self.tell(own.DialEnded(client.sess, dial.server, outcome, True, None))
-            client.answer(b"ERR not up\r\n", Ending.ANSWERED)
+            else:
+                self.not_up(client)
             return
         self.tell(own.DialEnded(client.sess, dial.server, outcome, False, None))
 
@@ -491,17 +497,19 @@
         self.move_within(span, standing)
 
     def answer_rest(self) -> None:
-        for client in list(self.clients.values()):
+        """From here on nothing is sent on: the decisions hear that of each dial, and give up what is left."""
+        self.closing = True
+        for client in list(self.connected):
             if client.standing:
                 client.move()
-            else:
-                client.answer(b"ERR stopping\r\n", Ending.STOPPED)
+            elif client.dial is not None:
+                client.dial.limit_passed()
+            elif client.sess < 0:
+                client.answer(b"BUSY\r\n", Ending.STOPPED)
 
     def end_when_empty(self) -> None:
-        now = self.loop.now()
-        if now >= self.last:
-            self.loop.stop()
-        elif not self.clients:
-            self.loop.after(min(2_000, self.last - now), self.loop.stop)
-        else:
+        """Guards against cutting off what is still being said, or just coming in as a line."""
+        if self.connected and self.loop.now() < self.last:
             self.loop.after(200, self.end_when_empty)
+        else:
+            self.loop.stop()
