MOVE waits for the end of a line as long as a silent server is borne

MOVE_WITHIN of 0.3 s cut sessions off without MOVE when a line came in pieces or a reader was slow; a client that ended while MOVE waited got MOVE instead of its server's last words. Now 3 s, SILENT's span, and a client's or server's end ends the move. move_in_pieces and move_as_client_ends failed before; move_never_ends bounds it.

--- a/thymedeck/net/clients.py
+++ b/thymedeck/net/clients.py
@@ -19,7 +19,7 @@
 LINGER = 10_000  # the other side gets so long to read the last bytes
 BAD_LINGER = 3_000  # and so long if it speaks something else
 HALF_OPEN = 50_000  # a connection with one side ended is kept so long
-MOVE_WITHIN = 3_000  # for a line to end, so that MOVE comes between two
+MOVE_WITHIN = 30_000  # for a line to end, so that MOVE comes between two: a silent server is borne as long
 BACKLOG = 512
 AT_ONCE = 32  # connections taken in before others have their turn
 
@@ -208,6 +208,7 @@
 
     def half_open(self) -> None:
         """One side has ended: the other may go on for a while."""
+        self.moving = False
         self.due.cancel()
         self.due = self.loop.after(HALF_OPEN, self.close_both)
         self.settle()
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -374,7 +374,8 @@
                     self.tell(own.DelayTold(-1 if client is None else client.sess, index, delay))
                 server.slow = slow
             for client in late:
-                if now - client.asked_at >= (SILENT_TOGETHER if server.stopped else SILENT):
+                borne = SILENT_TOGETHER if server.stopped else SILENT
+                if not client.moving and now - client.asked_at >= borne:
                     self.log("silent", sess=client.sess, server=index)
                     client.move()
 
