Door: a line that waits unread is taken before room is made; half a line is refused, not cut off

Door.take_in pushed out the oldest connection though its OPEN waited unread: a reset overtook BUSY. Client.no_line closed on half a line, whose end then met a reset. pushed_out_as_it_speaks and half_line failed before.

--- a/thymedeck/net/clients.py
+++ b/thymedeck/net/clients.py
@@ -66,10 +66,13 @@
     def take_in(self, sock: socket.socket) -> None:
         """Guards against a crowd that says nothing, or stays on, and takes the sockets that dials need."""
         loose, loop = self.service.loose, self.service.loop
-        if loop.free <= loop.reserve and loose:
+        while loop.free <= loop.reserve and loose:
             oldest = next(iter(loose))
-            oldest.answer(b"BUSY\r\n", Ending.PUSHED_OUT)
-            oldest.close()
+            oldest.read()  # Guards against a session refused by a reset: its line may wait.
+            if oldest in loose:
+                oldest.answer(b"BUSY\r\n", Ending.PUSHED_OUT)
+                oldest.close()
+                break
         client = Client(self.service, sock)
         if loop.free < loop.reserve:
             client.answer(b"BUSY\r\n", Ending.PUSHED_OUT)
@@ -103,7 +106,11 @@
     # Before the session stands
 
     def no_line(self) -> None:
-        self.finish(Ending.IDLE)
+        if self.inbound.held:
+            # Guards against a reset of what is just becoming a session: the line's end may be on its way.
+            self.answer(b"BUSY\r\n", Ending.IDLE)
+        else:
+            self.finish(Ending.IDLE)
 
     def on_bytes(self, count: int) -> None:
         if self.standing:
