A signal that comes while the program starts is heard once it serves

Seen by reading, forced by a test that sends it in the middle of the imports: SIGHUP ended the process (default action), SIGTERM ended it before it could serve. At fault: handlers stood only after all imports (__main__.py). Change: the three signals are blocked from the first line on, and let in once their handlers stand. Both cases failed before. Open: the interpreter's own start, before its first line of ours.

--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -1,16 +1,19 @@
 """What the program needs at its start, on a platform that counts processor time and refuses some calls."""
 
 import contextlib
+import json
 import os
 import signal
 import socket
 import subprocess
 import sys
 from collections.abc import Iterator
+from pathlib import Path
 from types import SimpleNamespace
 
 import pytest
 
+from tests.helpers import SETTINGS
 from thymedeck.net.loop import Loop
 from thymedeck.net.service import Wakeup
 from thymedeck.net.system import System
@@ -94,6 +97,39 @@
     assert "thymedeck.peers" not in told.stdout
 
 
+WHILE_STARTING = """
+import os, signal, sys
+
+class Finder:
+    def find_spec(self, name, *_):
+        if name == "thymedeck.net.service":
+            os.kill(os.getpid(), signal.{})
+            sys.meta_path.remove(self)
+
+sys.meta_path.insert(0, Finder())
+import runpy
+runpy.run_module("thymedeck", run_name="__main__", alter_sys=True)
+"""
+
+
+@pytest.mark.parametrize(("which", "heard"), [("SIGHUP", "reloaded"), ("SIGTERM", "stopping")])
+def test_a_signal_while_the_program_starts_is_heard_once_it_serves(
+    which: str, heard: str, tmp_path: Path
+) -> None:
+    """It comes in the middle of the imports, before anything could handle it."""
+    told = {"name": "b", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "settings": SETTINGS}
+    file = tmp_path / "told.json"
+    file.write_text(json.dumps(told))
+    code = WHILE_STARTING.format(which)
+    with subprocess.Popen(
+        [sys.executable, "-c", code, "serve", "--config", str(file)], stdout=subprocess.PIPE, text=True
+    ) as program:
+        try:
+            assert any(f'"{heard}"' in line for line in program.stdout)
+        finally:
+            program.kill()
+
+
 class WokenSelector:
     """Finds nothing in a wait in which the process stood still, as the system's own does."""
 
--- a/thymedeck/__main__.py
+++ b/thymedeck/__main__.py
@@ -1,12 +1,19 @@
 """The command line: `python -m thymedeck serve`."""
 
-import argparse
-import os
-import sys
+import signal
 
-from .net.service import Service, Wakeup
-from .net.system import System
-from .net.told import StartError, read_start
+# Guards against a signal that ends this program before it can hear it: until then they wait.
+HEARD = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+if __name__ == "__main__":
+    signal.pthread_sigmask(signal.SIG_BLOCK, HEARD)
+
+import argparse  # noqa: E402 (what is imported takes longer than a signal needs)
+import os  # noqa: E402
+import sys  # noqa: E402
+
+from .net.service import Service, Wakeup  # noqa: E402
+from .net.system import System  # noqa: E402
+from .net.told import StartError, read_start  # noqa: E402
 
 VERSION = "0.6.0"
 
@@ -30,6 +37,7 @@
         if not given.config:
             raise StartError("no configuration: name its file with --config or LB_CONFIG")
         wakeup = Wakeup() if given.command == "serve" else None
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HEARD)
         start = read_start(given.config)
         join = None
         if given.peers:
