A line that lay unread while the process stood still has used up some of its client's time

Found by a forced crossing: a line read 0.9 s late was held for its whole time from then on, so that the answer could come over half a second after the client's time, which loses the request. At fault: Service.opened counted from the reading.

--- a/thymedeck/net/clients.py
+++ b/thymedeck/net/clients.py
@@ -76,6 +76,8 @@
         client = Client(self.service, sock)
         if loop.free < loop.reserve:
             client.answer(b"BUSY\r\n", Ending.PUSHED_OUT)
+        elif loop.behind:
+            client.read()  # so that what waited with it is known to have waited
 
     def close(self) -> None:
         if self.is_open:
--- a/thymedeck/net/loop.py
+++ b/thymedeck/net/loop.py
@@ -42,6 +42,8 @@
         self.count = 0
         self.on_fault = on_fault
         self.running = False
+        self.looked_at = self.now()
+        self.behind = 0  # what is read now may have waited so long, as this process stood still
         self.first: Ready | None = None  # has its turn before all others that are ready
 
     def limit(self, most: int) -> None:
@@ -81,18 +83,23 @@
             heapq.heappop(timers)
         # A timer is never early: what is left of its tenth is waited for too.
         wait = max(timers[0][0] + 1 - self.now(), 0) / 10_000 if timers else None
-        self.serve(self.selector.select(wait))
+        self.look(wait)
         if timers and self.now() - timers[0][0] > LATE:
             # Guards against what waits to be read being taken for missing: this process stood still, in its
             # wait or in the middle of its turn.
-            self.serve(self.selector.select(0))
+            self.look(0)
         now = self.now()
         while timers and timers[0][0] <= now:
             call = heapq.heappop(timers)[2].call
             if call is not None:
                 self.guard(call)
 
-    def serve(self, found: list[tuple[selectors.SelectorKey, int]]) -> None:
+    def look(self, wait: float | None) -> None:
+        found = self.selector.select(wait)
+        now = self.now()
+        late = self.timers and now - self.timers[0][0] > LATE
+        self.behind = now - self.looked_at if late else 0
+        self.looked_at = now
         if len(found) > 1 and self.first is not None:
             # Guards against sessions sent by a list that is old where what is new waits to be read, as after
             # this process stood still.
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -203,7 +203,7 @@
             verb, ident, key, text = line.split(b" ")
             pairs = [one.partition(b"=") for one in text.split(b",")]
             figures = {name: value for name, _, value in pairs}
-            wait = int(figures[b"d"])
+            wait = int(figures[b"d"]) * 10
             listener = self.listeners[figures[b"c"]]
             hint = float(figures[b"h"]) if b"h" in figures else None
             if (
@@ -211,7 +211,7 @@
                 or not (readable(ident) and readable(key) and readable(text))
                 or len(figures) < len(pairs)
                 or not figures[b"d"].isdigit()
-                or wait > LONGEST_WAIT
+                or wait > 10 * LONGEST_WAIT
                 or not 0 <= (hint or 0) < MOST_LOAD
                 or client.inbound.held  # a client waits for its answer
                 or ident in self.idents  # new with every connection: that session is another's
@@ -248,8 +248,10 @@
             self.dial_fixed(client)
             return
         self.hold(client)
-        client.await_answer(wait * 10)
-        self.tell(own.SessionCame(sess, listener, wait * 10, hint, subject, figures.get(b"mid_flow") == b"1"))
+        # Guards against an answer after the client's time: some has passed while the line lay unread.
+        wait = max(wait - self.loop.behind, 0)
+        client.await_answer(wait)
+        self.tell(own.SessionCame(sess, listener, wait, hint, subject, figures.get(b"mid_flow") == b"1"))
 
     def dial(self, action: own.Dial) -> None:
         self.dials += 1
