Text nested too deep, an UP without a receipt and a reload that fails are answered like other bad input

Found by reading, each seen failing on the code before: a list, a settings file or a reload with some thousand open brackets ends in RecursionError, which nothing caught: the list was never asked for again (list_nested_too_deep), the start died with a traceback, and a SIGTERM heard together with such a SIGHUP was lost. `UP` with no receipt, or a spoilt one, was passed on as served (up_without_receipt).

--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -16,8 +16,9 @@
     within MS STEP           in the middle of the next turn, before it reads, this step and so much time
     full A, full list        connections to that server, or to discovery, no longer come up
     server N stuffs          sends lines as long as any are taken; `client N drains` reads them
-    list indents KIND N ...  `list says` with a list of over 100 kB
+    list indents N KIND ...  `list says` with one of over 8 kB; `list nests N` with too many brackets
     stop, reload same|other  SIGTERM and SIGHUP are heard
+    settings NAME            those of tests/scenarios/settings, before `start`
     breaks ACTION            the next such action of the decisions fails in the service
     ended                    the service has stopped within ten seconds, and the process is gone
     log no PATTERN           no such line since the last one that was looked for
@@ -164,6 +165,9 @@
             told["limits"] = {"sockets": self.descriptors}
         return json.dumps(told)
 
+    def on_settings(self, name: str) -> None:
+        self.settings = json.loads((self.path.parents[1] / "settings" / f"{name}.json").read_text())
+
     def on_start(self) -> None:
         self.file.write_text(self.told())
         self.service = Service(read_start(str(self.file)), self.system)
@@ -318,6 +322,8 @@
             version, _, *rows = text.split()
             entries = [self.entry(*row.split(":")) for row in rows]
             self.reply("200 OK", json.dumps({"version": int(version), "servers": entries}, indent=9_000))
+        elif verb == "nests":
+            self.reply("200 OK", '{"version": ' + text + ', "more": ' + "[" * 100_000)
         elif verb == "unseen":
             assert not select.select([self.discovery], [], [], 0)[0], "a call waits"
         elif verb == "asked":
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -130,6 +130,28 @@
             program.kill()
 
 
+def test_a_fault_in_a_reload_does_not_lose_the_stop_that_came_with_it() -> None:
+    with signals_heard() as hearing:
+        hearing.loop.on_fault = lambda fault: hearing.heard.append(str(fault))
+        hearing.reload = lambda: 1 / 0
+        hearing.loop.after(20_000, lambda: pytest.fail("the stop was lost"))
+        signal.raise_signal(signal.SIGHUP)
+        signal.raise_signal(signal.SIGTERM)
+        while len(hearing.heard) < 2:
+            hearing.loop.turn()
+        assert hearing.heard == ["division by zero", "stop"]
+
+
+@pytest.mark.parametrize("text", ["[" * 200_000, '{"settings":' * 200_000, "{", "", "\xff", "null"])
+def test_a_file_that_cannot_be_read_gets_one_line(text: str, tmp_path: Path) -> None:
+    file = tmp_path / "told.json"
+    file.write_text(text, encoding="latin-1")
+    told = subprocess.run(
+        [sys.executable, "-m", "thymedeck", "check", "--config", str(file)], capture_output=True, text=True
+    )
+    assert told.returncode == 2 and told.stderr.count("\n") == 1, told.stderr
+
+
 class WokenSelector:
     """Finds nothing in a wait in which the process stood still, as the system's own does."""
 
--- a/thymedeck/net/serverlist.py
+++ b/thymedeck/net/serverlist.py
@@ -8,7 +8,7 @@
 from .. import interface as own
 from .connection import Connection
 from .loop import Loop
-from .told import Listing
+from .told import UNREADABLE, Listing
 
 if TYPE_CHECKING:
     from .service import Service
@@ -182,7 +182,7 @@
             return
         try:
             listing = decode(body)
-        except msgspec.MsgspecError as why:
+        except UNREADABLE as why:
             # The next call asks for the whole list, in case the version is what is wrong.
             self.version = -1
             self.failed(f"bad answer: {why}")
--- a/thymedeck/net/servers.py
+++ b/thymedeck/net/servers.py
@@ -6,7 +6,7 @@
 from ..interface import Entry
 from .connection import Connection
 from .endings import Ending
-from .lines import Garbled, Lines, first_line
+from .lines import Garbled, Lines, first_line, readable
 from .notes import Beat, Figures
 
 if TYPE_CHECKING:
@@ -95,8 +95,8 @@
             line = b""
         if line is None:
             return
-        word = line.rstrip(b"\r\n").split(b" ", 1)[0]
-        if word == b"UP" and self.sent:
+        word, *rest = line.rstrip(b"\r\n").split(b" ")
+        if word == b"UP" and self.sent and rest and readable(rest[0]):
             self.stand()
         elif word == b"BUSY":
             self.finish(Ending.TURNED_AWAY)
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -8,7 +8,6 @@
 from collections import deque
 from collections.abc import Callable
 
-import msgspec
 from msgspec.structs import replace
 
 from .. import interface as own
@@ -22,7 +21,7 @@
 from .serverlist import Follower
 from .servers import Dialled, Known
 from .system import System
-from .told import Listing, Start, StartError, Told, name_of, read_again, server_address, usable
+from .told import UNREADABLE, Listing, Start, StartError, Told, name_of, read_again, server_address, usable
 
 SECOND = 10_000
 STATES = {"SERVING": own.State.READY, "DRAINING": own.State.DRAINING, "DELETED": own.State.GONE}
@@ -78,7 +77,8 @@
         # Guards against a signal lost among many: those of a kind that came together are one.
         heard, self.heard = self.heard, set()
         if signal.SIGHUP in heard:
-            self.service.reload()
+            # Guards against a fault that loses the stop that came with it.
+            self.service.loop.guard(self.service.reload)
         if heard - {signal.SIGHUP}:
             self.service.stop()
 
@@ -392,7 +392,7 @@
         for raw in listing.servers:
             try:
                 row = usable(raw)
-            except (ValueError, msgspec.MsgspecError) as why:
+            except UNREADABLE as why:
                 # Guards against one bad entry that spoils the list: the rest is used, it stays as it was.
                 self.log("bad_entry", why=str(why), entry=bytes(raw)[:200].decode("latin-1"))
                 index = self.server_index.get(name_of(raw), -1)
--- a/thymedeck/net/told.py
+++ b/thymedeck/net/told.py
@@ -10,6 +10,8 @@
 
 from ..stated import Env
 
+UNREADABLE = (ValueError, msgspec.MsgspecError, RecursionError)  # what text that is nested too deep ends in
+
 
 class StartError(Exception):
     """What the balancer was told at its start can't be used; the text says why."""
@@ -75,7 +77,7 @@
 
 def name_of(raw: msgspec.Raw) -> str:
     """The id of an entry that is not usable else, if it can be read."""
-    with contextlib.suppress(msgspec.MsgspecError):
+    with contextlib.suppress(*UNREADABLE):
         return msgspec.json.decode(raw, type=Named).id
     return ""
 
@@ -115,7 +117,7 @@
         yield
     except OSError as why:
         raise StartError(f"{path}: {why.strerror}") from why
-    except (ValueError, msgspec.MsgspecError) as why:
+    except UNREADABLE as why:
         raise StartError(f"{path}: {why}") from why
 
 
