--- a/tests/test_fleetcount.py
+++ b/tests/test_fleetcount.py
@@ -38,6 +38,26 @@
     assert not any("left" in line for line in lines)
 
 
+def test_lines_sent_on_for_clients_that_left_are_counted(tmp_path: Path) -> None:
+    rows = [
+        ("left", 1, 1.0),
+        ("left", 2, 1.0),
+        ("up", 1, 1.2),
+        ("up", 2, 1.4),
+        ("left", 3, 1.5),
+        ("came", 3, 1.6),
+    ]
+    rows += [("up", 3, 2.0), ("left", 4, 2.0), ("dial", 4, 2.5)]
+    lines = [
+        {"event": name, "sess": sess, "time": time, "sent": True, "ending": "X", "server": 0}
+        for name, sess, time in rows
+    ]
+    (tmp_path / "n0.log").write_text(
+        "".join(json.dumps(one | {"key": "k", "figures": ""}) + "\n" for one in lines)
+    )
+    assert "left while they waited: 4; sent on over 0.3 s later: 2" in list(tables(read_logs(tmp_path), 1.0))
+
+
 def test_what_single_balancers_did_is_counted(tmp_path: Path) -> None:
     lines = list(tables(events(tmp_path), 1.0))
     counted = {" ".join(line.partition(":")[0].split()[2:]): line.split()[0] for line in lines[-8:]}
--- a/tools/fleetcount.py
+++ b/tools/fleetcount.py
@@ -8,7 +8,7 @@
 mode lines without their figures, and what single balancers did most of. `cold` counts dials that ended or
 stood on a server started less than so long ago, `draining` those on one that this balancer had been told
 drains. With an id (of a client's first line, its beginning is enough) or a session's key: every line that
-any balancer wrote of it.
+any balancer wrote of it. A client left at the moment at which its balancer read that it had.
 """
 
 import argparse
@@ -24,6 +24,7 @@
 )  # fmt: skip
 SINGLED_OUT = ("answer BUSY", "answer ERR", "left", "unanswered", "fault", "list_asked", "cold", "draining")
 COLD = 10.0  # seconds
+SENT_ON = 0.3  # seconds after a client left at which its line may still go on
 
 
 def read_logs(folder: Path) -> list[dict]:
@@ -104,6 +105,26 @@
         return ["cold"] * cold + ["draining"] * (state not in ("", "SERVING"))
 
 
+class Left:
+    """Clients that left while they waited, and lines sent on for them later than they should have been."""
+
+    def __init__(self) -> None:
+        self.at: dict[tuple[str, int], float] = {}
+        self.count = 0
+        self.late: set[tuple[str, int]] = set()
+
+    def take(self, event: dict) -> None:
+        name, key = event["event"], (event["file"], event.get("sess", -1))
+        if name == "left":
+            self.at[key] = event["time"]
+            self.count += 1
+        elif name == "came":  # the number was another's before a restart
+            self.at.pop(key, None)
+        sent = name == "up" or (name == "dial" and event.get("sent"))
+        if sent and event["time"] > self.at.get(key, event["time"]) + SENT_ON:
+            self.late.add(key)
+
+
 def followed(events: Iterable[dict], ident: str) -> Iterator[str]:
     """Each line of the sessions whose id or key begins so, over all balancers."""
     held: set[tuple[str, int]] = set()
@@ -123,13 +144,14 @@
     per_step: list[tuple[float, Counter, Counter]] = []
     texts: Counter = Counter()
     balancers: defaultdict[str, set] = defaultdict(set)
-    standing, told = Standing(), Told(cold)
+    standing, told, left = Standing(), Told(cold), Left()
     single: defaultdict[str, Counter] = defaultdict(Counter)
     first = events[0]["time"] if events else 0
     for start, rows in steps_of(events, step):
         counted: Counter = Counter()
         for event in rows:
             standing.take(event)
+            left.take(event)
             for kind in (kind_of(event), *told.take(event)):
                 if kind is not None:
                     counted[kind] += 1
@@ -150,6 +172,8 @@
     for text, count in texts.most_common():
         yield f"{count:6} {len(balancers[text]):4}  {text}"
     yield ""
+    yield f"left while they waited: {left.count}; sent on over {SENT_ON} s later: {len(left.late)}"
+    yield ""
     yield "in all, from how many balancers, and the most from one"
     for kind in SINGLED_OUT:
         most = single[kind].most_common(3)
