--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -65,6 +65,13 @@
     assert other[5] == "-0.010" and other[-3:] == ["1", "1", "90"]
 
 
+def test_days_of_another_site_are_told_apart_and_a_number_in_the_panel_is_no_name(root: Path) -> None:
+    note(root, "1", OTHER, [day(5, 0.9, name="calm+x-2"), day(6, 0.9, name="calm+x-8")])
+    (root / "journal" / "2.json").write_text(json.dumps({"site": "elsewhere", "days": [day(7, 0.1)]}))
+    plays = read_plays(root / "journal", "calm+x", 150, "here")
+    assert [(play.day.name, play.day.seed) for play in plays] == [("calm+x", 5), ("calm+x", 6)]
+
+
 def test_the_table_replaces_what_stands_between_the_marks_alone(root: Path) -> None:
     note(root, "1", own_files(root), [day(5, 0.9)])
     page = root / "page.md"
--- a/tools/standing.py
+++ b/tools/standing.py
@@ -4,6 +4,8 @@
 python tools/standing.py --code now         only what was played on the code as it stands
 python tools/standing.py --seeds            a row for each play instead
 python tools/standing.py --last 3           only the three codes played last
+python tools/standing.py --days +brink+mass --nodes 1      the short days
+python tools/standing.py --site ridge-alarms --nodes 1     another deployment's days
 python tools/standing.py --into FILE        put that table (of three, or as said) between the marks in FILE
 
 A code is what the deploy file's `policy` and `node` name, by its files' digests: seven figures tell it, `now`
@@ -12,6 +14,7 @@
 
 import argparse
 import hashlib
+import re
 import statistics
 import sys
 import tomllib
@@ -46,6 +49,7 @@
 
 class Run(msgspec.Struct):
     head: str = ""
+    site: str = ""
     at: list[str] = []
     panel: str | None = None
     policy: list[File] = []
@@ -91,8 +95,11 @@
     )
 
 
-def read_plays(journal: Path, ending: str, least_nodes: int) -> list[Play]:
-    """The days whose name ends so, oldest first; small looks, and days beside other load, do not count."""
+def read_plays(journal: Path, ending: str, least_nodes: int, site: str = "") -> list[Play]:
+    """The days whose name ends so, oldest first; small looks, and days beside other load, do not count.
+
+    A day's number among those of its panel (`calm+brink+mass-8`) is no part of its name.
+    """
     plays = []
     decode = msgspec.json.Decoder(Run).decode
     for path in sorted(journal.glob("*.json")):
@@ -104,6 +111,10 @@
         except msgspec.MsgspecError as why:
             print(f"{path.name} passed over: {why}", file=sys.stderr)
             continue
+        if site and run.site not in ("", site):
+            continue
+        for day in run.days:
+            day.name = re.sub(r"-\d+$", "", day.name)
         panel = "" if not run.panel else "quick" if run.panel.endswith(":quick") else "full"
         code = code_of([*run.policy, *run.node])
         plays += [
@@ -176,6 +187,7 @@
     )
     parser.add_argument("--root", type=Path, default=Path(), help="the project's folder")
     parser.add_argument("--days", default="+mass", help="days whose name ends so (default +mass)")
+    parser.add_argument("--site", default="muscat-network", help="the deployment (muscat-network)")
     parser.add_argument("--day", help="one day alone, by its whole name")
     parser.add_argument("--nodes", type=int, default=150, help="days of fewer balancers are looks (150)")
     parser.add_argument("--code", help="only this code, or `now`")
@@ -185,7 +197,7 @@
     given = parser.parse_args()
     now = code_now(given.root)
     code = given.code
-    plays = read_plays(given.root / "journal", given.day or given.days, given.nodes)
+    plays = read_plays(given.root / "journal", given.day or given.days, given.nodes, given.site)
     plays = [p for p in plays if code is None or p.code == (now if code == "now" else code)]
     plays = [p for p in plays if given.day is None or p.day.name == given.day]
     last = given.last or (3 if given.into and code is None else 0)
