Pushed lists without a stated grace are asked for at a pace; open clients are kept in their order

Found in the read-through: with drain_grace_us 0 failed calls for a pushed list followed one another without a pause (pushed_without_grace, failed before); and the stop went through open clients in the order of a set, which differs from run to run. At fault: Follower.patience and on_list by a grace of 0 (stated.py), Service.connected.

--- a/thymedeck/net/clients.py
+++ b/thymedeck/net/clients.py
@@ -101,7 +101,7 @@
         self.asked_at = -1  # when the first line went on that nothing has come back for
         self.pings = 0
         self.due = self.loop.after(FIRST_LINE_WITHIN, self.no_line)
-        service.connected.add(self)
+        service.connected[self] = None
         service.loose[self] = None
         self.await_more()
 
@@ -283,5 +283,5 @@
     def close(self, reset: bool = False) -> None:
         self.due.cancel()
         self.service.loose.pop(self, None)
-        self.service.connected.discard(self)
+        self.service.connected.pop(self, None)
         super().close(reset)
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -109,7 +109,7 @@
         self.servers: list[Known] = []
         self.clients: dict[int, Client] = {}
         self.idents: set[bytes] = set()  # of these
-        self.connected: set[Client] = set()  # all whose connection is open
+        self.connected: dict[Client, None] = {}  # all whose connection is open, in their order
         self.loose: dict[Client, None] = {}  # those that no session needs, oldest first
         self.next_sess = 0
         self.dials = 0  # made since the start, but those of sessions that stood before
--- a/thymedeck/stated.py
+++ b/thymedeck/stated.py
@@ -15,6 +15,7 @@
 SCOPES = {"all": own.Scope.ALL, "zone": own.Scope.ZONE, "cell": own.Scope.CELL}
 NO_AIM = 10_000_000.0
 LEAST_WEIGHT = 1e-6
+LEAST_GRACE = 1_000  # calls for the list are paced by parts of it
 
 
 class Listener(Struct):
@@ -119,6 +120,6 @@
         tells_delay=env.extra.tells_delay,
         passes_through=env.extra.mode == "pass",
         crossing_price=env.prices.cross_zone,
-        drain_grace=down(contract.drain_grace_us),
+        drain_grace=max(down(contract.drain_grace_us), LEAST_GRACE),
         promised=sum(env.extra.tenant_quota_connections),
     )
