The client is read before every dial and every write of its line

Seen by forcing each step from its end to our next write: the client was read only as a dial came up. A first dial behind a line whose end waits too, a further dial from an answer, a break or a timer of a long turn, a try of an `at=` session, and a line that had to wait or went in parts were begun for clients whose end lay unread in the kernel, as late as the turn was long. Ruled out: a full ring (a waiting client's first further byte is answered), a connect that succeeds at once (it is told of by the loop), sessions held for a timer (probes). At fault: Service.begin_dial and Dialled.on_up. Now begin_dial reads the client before connecting, and Dialled.ready until the line is sent, so that no turn's length enters.

--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -7,7 +7,9 @@
     client N arrives         what that client did (bytes, an end, a reset) waits to be read by the program
     server N accepts [A]     a dial has come up, which the program has not heard of yet
     server N reads N2        the line of that dial comes, for the session of client N2
+    server N takes COUNT     of the line of that dial only so many bytes are taken until the next turn
     server N arrives, list arrives, list unseen (no call waits there)
+    nothing dialled [A]      no dial waits at any server, or at this one
     turn [COUNT]             the loop turns so often and waits for nothing
     first client|server N    of what is ready in one turn that comes first; or `first door`
     later MS                 the clock moves on with no turn, as if the process had stood still
@@ -33,6 +35,7 @@
 from pathlib import Path
 
 from thymedeck.net.connection import Connection
+from thymedeck.net.ring import Ring
 from thymedeck.net.service import Service
 from thymedeck.net.system import System
 from thymedeck.net.told import read_start
@@ -53,6 +56,20 @@
         return sorted(super().select(timeout), key=lambda one: one[0].data is not self.first)
 
 
+class Narrow(Ring):
+    """Writes so many bytes of what it holds, then would have to wait once, then all."""
+
+    __slots__ = ("left",)
+
+    def empty(self, sock: socket.socket) -> int:
+        left, self.left = self.left, -1 if not self.left else 0
+        if not left:
+            raise BlockingIOError
+        sent = sock.send(self.copy(0, self.held if left < 0 else left))
+        self.skip(sent)
+        return sent
+
+
 class StoodClock(System):
     """The machine's sockets, and a clock that only a step moves."""
 
@@ -275,6 +292,12 @@
             self.figures = line.split()[3]
         elif verb == "arrives":
             self.arrived(self.ends[id(self.dials[name])])
+        elif verb == "takes":
+            end = self.ends[id(self.dials[name])]
+            narrow = Narrow()
+            narrow.put(end.outbound.take())
+            narrow.left = int(text)
+            end.outbound = narrow
         elif verb == "stuffs":
             self.left = STUFF * 200_000
             self.dials[name].sock.setblocking(False)
@@ -287,6 +310,10 @@
         elif verb != "accepts":
             self.dials[name].act(verb, text)
 
+    def on_nothing(self, _: str, at: str = "") -> None:
+        doors = [door for name, door in self.doors.items() if at in ("", name)]
+        assert not select.select(doors, [], [], 0)[0], "a dial waits"
+
     def stuff(self, sock: socket.socket) -> int:
         try:
             sent = sock.send(self.left)
--- a/thymedeck/net/servers.py
+++ b/thymedeck/net/servers.py
@@ -7,6 +7,7 @@
 from .connection import Connection
 from .endings import Ending
 from .lines import Garbled, Lines, first_line, readable
+from .loop import WRITE
 from .notes import Beat, Figures
 
 if TYPE_CHECKING:
@@ -59,12 +60,16 @@
             return
         self.await_more()
 
+    def ready(self, mask: int) -> None:
+        if not self.sent and mask & WRITE:
+            # Guards against a line sent on for a client whose end has come but waits unread.
+            self.client.read()
+        super().ready(mask)
+
     def on_up(self) -> None:
         """The line goes now, if it is still to go."""
         self.connect_due.cancel()
-        # Guards against a line sent on for a client whose end has come but waits unread.
-        self.client.read()
-        if self.open and not self.service.may_send(self):
+        if not self.service.may_send(self):
             self.finish(Ending.OVERTAKEN)
 
     def on_unwritable(self) -> None:
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -259,7 +259,8 @@
         client = self.clients.get(sess)  # None: it has left, which is still to be told
         within = self.site.connect_timeout
         if client is None or self.closing or not self.begin_dial(client, server, within, action.limit):
-            self.tell(own.DialEnded(sess, server, OUTCOMES[Ending.NO_SOCKET], client is None, None))
+            gone = sess not in self.clients
+            self.tell(own.DialEnded(sess, server, OUTCOMES[Ending.NO_SOCKET], gone, None))
 
     def may_send(self, dial: Dialled) -> bool:
         """Guards against a line sent to a server that was told to drain while the dial came up."""
@@ -267,7 +268,11 @@
         return dial.client.fixed >= 0 or entry is None or entry.state is own.State.READY
 
     def begin_dial(self, client: Client, server: int, connect_within: int, limit: int) -> bool:
-        """Whether there was a socket for it."""
+        """Whether its client is still there, and there was a socket for it."""
+        # Guards against a dial for a client whose end has come but waits unread, however long the turn.
+        client.read()
+        if client.done:
+            return False
         try:
             client.dial = Dialled(self, client, server, connect_within, limit)
         except OSError as why:
