--- a/tests/test_fleetcount.py
+++ b/tests/test_fleetcount.py
@@ -42,8 +42,8 @@
     rows = [
         ("left", 1, 1.0),
         ("left", 2, 1.0),
-        ("up", 1, 1.2),
-        ("up", 2, 1.4),
+        ("up", 1, 1.05),
+        ("up", 2, 1.15),
         ("left", 3, 1.5),
         ("came", 3, 1.6),
     ]
@@ -55,7 +55,7 @@
     (tmp_path / "n0.log").write_text(
         "".join(json.dumps(one | {"key": "k", "figures": ""}) + "\n" for one in lines)
     )
-    assert "left while they waited: 4; sent on over 0.3 s later: 2" in list(tables(read_logs(tmp_path), 1.0))
+    assert "left while they waited: 4; sent on over 0.1 s later: 2" in list(tables(read_logs(tmp_path), 1.0))
 
 
 def test_what_single_balancers_did_is_counted(tmp_path: Path) -> None:
--- a/tools/fleetcount.py
+++ b/tools/fleetcount.py
@@ -24,7 +24,7 @@
 )  # fmt: skip
 SINGLED_OUT = ("answer BUSY", "answer ERR", "left", "unanswered", "fault", "list_asked", "cold", "draining")
 COLD = 10.0  # seconds
-SENT_ON = 0.3  # seconds after a client left at which its line may still go on
+SENT_ON = 0.1  # seconds after a client left at which its line may still go on
 
 
 def read_logs(folder: Path) -> list[dict]:
