The decisions let a session go whose client leaves between two tries of an `at=` dial

Found while its crossing was forced: client_over told its dial's end only where a dial was out, so that the decisions, which wait for that end, held the session for good (one entry each, no load).

--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -9,6 +9,7 @@
     server N reads N2        the line of that dial comes, for the session of client N2
     server N takes COUNT     of the line of that dial only so many bytes are taken until the next turn
     server N arrives, list arrives, list unseen (no call waits there)
+    held COUNT               so many sessions are held by the decisions
     nothing dialled [A]      no dial waits at any server, or at this one
     turn [COUNT]             the loop turns so often and waits for nothing
     first client|server N    of what is ready in one turn that comes first; or `first door`
@@ -310,6 +311,10 @@
         elif verb != "accepts":
             self.dials[name].act(verb, text)
 
+    def on_held(self, count: str) -> None:
+        held = self.service.balancer.sessions
+        assert len(held) == int(count), held.keys()
+
     def on_nothing(self, _: str, at: str = "") -> None:
         doors = [door for name, door in self.doors.items() if at in ("", name)]
         assert not select.select(doors, [], [], 0)[0], "a dial waits"
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -327,9 +327,12 @@
         elif self.let_go(client.sess) is not None:
             self.log("left", sess=client.sess, ending=ending.name)
             self.tell(own.SessionLeft(client.sess))
+            server = client.fixed  # of a session that stood before, also between two tries
             if dial is not None:
+                server = dial.server
                 dial.finish(ending)
-                self.tell(own.DialEnded(client.sess, dial.server, OUTCOMES[ending], True, None))
+            if server >= 0:
+                self.tell(own.DialEnded(client.sess, server, OUTCOMES[ending], True, None))
 
     def session_over(self, client: Client, ending: Ending) -> None:
         """A standing session has ended, told once."""
