--- a/tests/test_ready.py
+++ b/tests/test_ready.py
@@ -144,6 +144,7 @@
 def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
     fleet = Fleet(tmp_path_factory.mktemp("fleet"))
     try:
+        fleet.restart("127.0.0.1:9")  # so that every case starts again what has run
         yield fleet
     finally:
         fleet.kill()
