--- a/thymedeck/lab/__main__.py
+++ b/thymedeck/lab/__main__.py
@@ -26,7 +26,12 @@
     )
     peers.add_argument("--processes", action="store_true", help="real daemons on loopback, with and without")
     peers.add_argument("--acquainted", action="store_true", help="all have met each other at the start")
+    from .scale import command as scale
+
+    scale.add_to(commands)
     given = parser.parse_args()
+    if given.command == "scale":
+        return scale.run(given)
     if given.command == "peers" and given.processes:
         for size in given.balancers:
             print("\n".join(measure_processes(size, given.seed, round(given.quiet * talk.SECOND))))
--- /dev/null
+++ b/thymedeck/lab/scale/sessions.py
@@ -0,0 +1,131 @@
+"""Standing sessions on one real daemon: memory, descriptors and processor time by what they do.
+
+Left out: a list service that answers (the daemon goes on with the list it was told), peers, other machines.
+Servers and clients are stand-ins on loopback in two processes beside it.
+"""
+
+import contextlib
+import time
+from collections import Counter
+from collections.abc import Iterator
+
+from .crowd import run_clients, run_servers
+from .daemon import Daemon, row_of
+from .process import Worker
+
+SERVERS = 20
+CALM = 4.0  # seconds that each state of rest is watched
+OPEN_RATE = 800  # a second
+LINE = 100  # bytes of one that is delivered
+PACED = 4000  # deliveries a second that their cost is taken from
+PACED_FOR = 3.0
+TRIES = 10  # openings, on a machine that is busy with else
+
+
+@contextlib.contextmanager
+def rig(servers: int = SERVERS) -> Iterator[tuple[Daemon, Worker, Worker]]:
+    """A daemon with servers and clients beside it."""
+    with Worker(run_servers) as behind:
+        ports = behind.ask("open", servers)
+        with (
+            Daemon([row_of(f"s{at}", port) for at, port in enumerate(ports)]) as daemon,
+            Worker(run_clients, daemon.port) as front,
+        ):
+            yield daemon, behind, front
+
+
+def fill(daemon: Daemon, front: Worker, count: int) -> dict:
+    """So many more sessions stand; who is refused comes again. Raises ValueError where some never do."""
+    before = daemon.cpu()
+    answers = Counter()
+    for _ in range(TRIES):
+        came = Counter(front.ask("open", count - answers["UP"], OPEN_RATE))
+        median = came.pop("median")
+        answers += came
+        if answers["UP"] == count:
+            return {"cpu": daemon.cpu() - before, "median": median, "refused": answers["BUSY"]}
+    raise ValueError(f"of {count} sessions: {answers}")
+
+
+def standing(sessions: int, repeat: int) -> dict:
+    """One daemon through all that its sessions may do; `_us` is processor time of the daemon alone."""
+    with rig() as (daemon, behind, front):
+        bare, fds, empty = daemon.memory(), daemon.descriptors(), daemon.rate(CALM)
+        opened = fill(daemon, front, sessions)
+        new = daemon.memory()
+        held = daemon.descriptors()
+        silent = daemon.rate(CALM)
+        before, begin = daemon.cpu(), time.monotonic()
+        said, back = front.ask("beat", CALM)
+        beating = daemon.cpu() - before - silent * (time.monotonic() - begin)
+        used = daemon.memory()
+        paced = cost_of_deliveries(daemon, behind, front, silent)
+        spread = cost_of_fan_out(daemon, behind, front, silent)
+        again = min(sessions, 1000)
+        before, begin = daemon.cpu(), time.monotonic()
+        front.ask("leave", again)
+        time.sleep(0.5)
+        ended = daemon.cpu() - before - silent * (time.monotonic() - begin)
+        refilled = fill(daemon, front, again)
+        top = daemon.memory()
+        stopping, took = daemon.stop()
+        time.sleep(0.2)
+        left = front.ask("told")
+    return {
+        "memory_bare": bare, "memory_new": new, "memory_used": used, "memory_again": top,
+        "fds_bare": fds, "fds": held,
+        "core_empty": f"{empty:.5f}", "core_silent": f"{silent:.5f}",
+        "set_up_us": us(opened["cpu"], sessions + opened["refused"]), "refused": opened["refused"],
+        "set_up_median_ms": f"{opened['median'] * 1e3:.2f}",
+        "lines": said, "lines_back": back, "own_line_us": us(beating, said),
+        "core_at_rest": f"{silent + sessions / 2 * beating / max(said, 1):.5f}",
+        "delivered": paced[0], "delivery_us": us(paced[1], paced[0]),
+        "fan_out_us": us(spread[1], spread[0]), "fan_out_last_ms": f"{spread[2] * 1e3:.1f}",
+        "end_us": us(ended, again), "set_up_again_us": us(refilled["cpu"], again + refilled["refused"]),
+        "stop_us": us(stopping, sessions), "stop_s": f"{took:.2f}",
+        "moved": left.get("MOVE", 0), "cut_off": sessions - left.get("MOVE", 0),
+    }  # fmt: skip
+
+
+def us(seconds: float, count: int) -> str:
+    return f"{seconds * 1e6 / max(count, 1):.2f}"
+
+
+def cost_of_deliveries(daemon: Daemon, behind: Worker, front: Worker, silent: float) -> tuple[int, float]:
+    """How many came at the clients, and the daemon's seconds for them alone."""
+    before, begin = daemon.cpu(), time.monotonic()
+    sent, _ = behind.ask("deliver", PACED, PACED_FOR, LINE)
+    came, _ = front.ask("heard", sent)
+    return came, daemon.cpu() - before - silent * (time.monotonic() - begin)
+
+
+def cost_of_fan_out(daemon: Daemon, behind: Worker, front: Worker, silent: float) -> tuple[int, float, float]:
+    """One line to each at once: how many came, the daemon's seconds, and the delay of the last."""
+    before, begin = daemon.cpu(), time.monotonic()
+    sent, _ = behind.ask("fan_out", LINE)
+    came, delays = front.ask("heard", sent)
+    return came, daemon.cpu() - before - silent * (time.monotonic() - begin), max(delays, default=0.0)
+
+
+def deliveries(sessions: int, rate: int, size: int, repeat: int) -> dict:
+    """Paced deliveries over so many sessions: what came, how late, at what processor time."""
+    with rig() as (daemon, behind, front):
+        fill(daemon, front, sessions)
+        silent = daemon.rate(2.0)
+        before, begin = daemon.cpu(), time.monotonic()
+        sent, took = behind.ask("deliver", rate, 4.0, size)
+        span = time.monotonic() - begin
+        used = daemon.cpu() - before
+        came, delays = front.ask("heard", sent)
+        spent = daemon.cpu() - before - silent * (time.monotonic() - begin)
+    return {
+        "sent": sent, "sent_a_second": f"{sent / took:.0f}", "came": came,
+        "core": f"{used / span:.4f}", "line_us": us(spent, came),
+        "p50_ms": f"{quantile(delays, 0.5) * 1e3:.2f}", "p99_ms": f"{quantile(delays, 0.99) * 1e3:.2f}",
+        "last_ms": f"{quantile(delays, 1.0) * 1e3:.2f}",
+    }  # fmt: skip
+
+
+def quantile(found: list[float], part: float) -> float:
+    """Of what is sorted; 0 of nothing."""
+    return found[min(int(part * len(found)), len(found) - 1)] if found else 0.0
