--- a/thymedeck/lab/scale/crowd.py
+++ b/thymedeck/lab/scale/crowd.py
@@ -159,6 +159,8 @@
         self.parts: dict[int, bytes] = {}
         self.answers: Counter[str] = Counter()
         self.waits: list[float] = []  # of answers, in seconds
+        self.moved = 0  # told to move
+        self.cut = 0  # ended without a word
         self.lines = 0
         self.delays: list[float] = []  # of deliveries, in seconds
         self.next = 0
@@ -217,7 +219,8 @@
             if line.startswith(DELIVERED):
                 self.delays.append((time.monotonic_ns() - int(line.split(b" ")[1])) / 1e9)
             elif line == b"MOVE":
-                self.answers["MOVE"] += 1
+                self.moved += 1
+                self.standing.pop(fd, None)
             else:
                 self.lines += not line.startswith(b"LOAD ")
 
@@ -225,7 +228,7 @@
         if self.asked.pop(fd, None) is not None:
             self.answers["cut"] += 1
         elif fd in self.standing:
-            self.answers["ended"] += 1
+            self.cut += 1
         self.standing.pop(fd, None)
         self.parts.pop(fd, None)
         self.drop(fd)
@@ -236,11 +239,11 @@
             self.drop(fd)
         return len(self.standing)
 
-    def beat(self, seconds: float) -> tuple[int, int]:
-        """Each that stands says a line every BEAT; returns lines said and lines that came back."""
+    def beat(self, seconds: float, every: float = BEAT) -> tuple[int, int]:
+        """Each that stands says a line every so often; returns lines said and lines that came back."""
         self.lines = said = 0
         order = list(self.standing)
-        rate, begin = len(order) / BEAT, time.monotonic()
+        rate, begin = len(order) / every, time.monotonic()
         while (now := time.monotonic()) < begin + seconds:
             due = int((now - begin) * rate)
             while said < due:
@@ -258,9 +261,9 @@
         delays, self.delays = sorted(self.delays), []
         return len(delays), delays
 
-    def told(self) -> dict:
-        """What was answered since the last opening, beside: MOVE and ended."""
-        return dict(self.answers)
+    def told(self) -> tuple[int, int]:
+        """How many were moved, and how many cut off."""
+        return self.moved, self.cut
 
 
 def run_servers(pipe: Connection) -> None:
