--- a/thymedeck/lab/scale/fits.py
+++ b/thymedeck/lab/scale/fits.py
@@ -12,7 +12,7 @@
 
 
 class Fit(Struct, frozen=True):
-    """y = intercept + slope x. `spread`: of a repeat from the mean at its size, the most, as a part."""
+    """y = intercept + slope x. `spread`: of a repeat from the mean at its size, the most; nan without."""
 
     points: int
     least: float
@@ -36,7 +36,8 @@
     rest, whole = ys - (slope * xs + intercept), ys - ys.mean()
     r2 = 1 - (rest @ rest) / (whole @ whole) if whole @ whole else 1.0
     means = {x: ys[xs == x].mean() for x in set(xs)}
-    spread = max((abs(y / means[x] - 1) for x, y in zip(xs, ys, strict=True) if means[x]), default=0.0)
+    off = [abs(y / means[x] - 1) for x, y in zip(xs, ys, strict=True) if means[x]]
+    spread = max(off, default=0.0) if len(means) < len(xs) else float("nan")
     sound = (xs > 0).all() and (ys > 0).all()
     power = numpy.polyfit(numpy.log(xs), numpy.log(ys), 1)[0] if sound else float("nan")
     return Fit(
--- a/thymedeck/lab/scale/page.py
+++ b/thymedeck/lab/scale/page.py
@@ -6,7 +6,10 @@
 from .fits import Line, chart, table
 from .rows import Sheet
 
-TARGET = {"sessions": 59_524, "entries": 47_000, "servers": 47_000, "balancers": 420, "rate": 20_238}
+TARGET = {
+    "sessions": 59_524, "entries": 47_000, "servers": 47_000, "balancers": 420, "rate": 20_238,
+    "percent": 100, "listed": 47_000,
+}  # fmt: skip
 BY_SESSIONS = (
     Line("sessions", "sessions", "memory_new", "kB", scale=1e-3),
     Line("sessions", "sessions", "memory_used", "kB", scale=1e-3),
@@ -32,6 +35,19 @@
     Line("list", "entries", "memory", "kB", scale=1e-3),
     Line("list", "entries", "core_at_rest", "of a core"),
 )
+BY_START = (
+    Line("starts", "entries", "ready_s", "s"),
+    Line("starts", "entries", "memory", "kB", scale=1e-3),
+)
+BY_LISTED = (
+    Line("placing", "listed", "up", "of 300 set up"),
+    Line("placing", "listed", "asked_us", "us each"),
+)
+BY_PERCENT = (
+    Line("whole", "percent", "core", "of a core"),
+    Line("whole", "percent", "line_us", "us each"),
+    Line("whole", "percent", "p99_ms", "ms"),
+)
 BY_SERVERS = (Line("picks", "servers", "pick_us", "us"), Line("picks", "servers", "memory", "kB", scale=1e-3))
 ORDINARY = {"send_most": 2000}
 BY_BALANCERS = (
@@ -44,17 +60,26 @@
     ),
     Line("control", "balancers", "memory", "kB", ORDINARY, 1e-3),
     *(Line("meeting", "balancers", y, unit) for y, unit in (("met", "s"), ("bytes_a_pair", "B"))),
-    *(
-        Line("regions", "balancers", "healed", "s", {"cut": cut}) for cut in (30, 700)
-    ),
+    *(Line("regions", "balancers", "healed", "s", {"cut": cut}) for cut in (30, 700)),
+    *(Line("regions", "balancers", y, "s", {"cut": 700}) for y in ("known_half", "known_99", "known_all")),
+    Line("mixed", "balancers", "core", "of a core"),
+    Line("mixed", "balancers", "messages", "a second"),
+    Line("mixed", "balancers", "met", "s"),
+)  # fmt: skip
+BY_CUT = tuple(Line("regions", "balancers", y, "s", {"cut": 700}) for y in ("known_half", "known_99"))
+LINES = (
+    *BY_SESSIONS, *BY_RATE, *BY_LENGTH, *BY_PERCENT, *BY_ENTRIES, *BY_START, *BY_SERVERS, *BY_LISTED,
+    *BY_BALANCERS,
 )  # fmt: skip
-LINES = (*BY_SESSIONS, *BY_RATE, *BY_LENGTH, *BY_ENTRIES, *BY_SERVERS, *BY_BALANCERS)
 CHARTS = {
     "memory": ("Memory of one daemon", BY_SESSIONS[:2]),
     "rest": ("Processor time at rest, all sessions standing", BY_SESSIONS[3:5]),
     "deliveries": ("Processor time by deliveries a second", BY_RATE[:1]),
     "list": ("A whole list taken in", BY_ENTRIES[1:4]),
     "picks": ("A pick", BY_SERVERS[:1]),
+    "placing": ("Of 300 set-ups on one daemon, how many stand", BY_LISTED[:1]),
+    "whole": ("Processor time at parts of the target's lines", BY_PERCENT[:1]),
+    "regions": ("Seconds until a cut is known, to half and 99 of 100 of the pairs", BY_CUT),
     "control": ("Processor time for peers", (BY_BALANCERS[2],)),
     "known": ("Seconds until peers know", (*BY_BALANCERS[4:5], BY_BALANCERS[7])),
     "meeting": ("Seconds until all that start together have met", (BY_BALANCERS[9],)),
