--- a/thymedeck/lab/scale/command.py
+++ b/thymedeck/lab/scale/command.py
@@ -42,6 +42,9 @@
         sessions.deliveries, "the same by length of a line",
         size=[50, 400, 1500, 4000], rate=[4000], sessions=[1000], repeat=[1, 2],
     ),
+    "churn": Part(
+        sessions.churn, "memory beside sessions that come and go", sessions=[10, 2000, 4000, 7000], repeat=[1]
+    ),
     "whole": Part(
         sessions.whole, "lines of all kinds as one balancer has them at the target, in parts of a hundred",
         percent=[10, 25, 50, 75, 100], sessions=[8000], repeat=[1, 2],
