--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -195,17 +195,10 @@
         self.work: dict[int, deque[tuple[bool, int]]] = {}  # by kind, the last set-ups: own zone or not, took
         self.crowd_at = -LOG_PAUSE - 1  # last refusal because every server was at its cap
         self.handlers: dict[type, Callable[[Event], None]] = {
-            ServerList: self.on_list,
-            SessionCame: self.on_came,
-            SessionStands: self.on_stands,
-            SessionLeft: self.on_left,
-            Established: self.on_established,
-            DialEnded: self.on_dial_ended,
-            LoadTold: self.on_load,
-            DelayTold: self.on_delay,
-            Probed: self.on_probed,
-            TimerDue: self.on_timer,
-        }
+            ServerList: self.on_list, SessionCame: self.on_came, SessionStands: self.on_stands,
+            SessionLeft: self.on_left, Established: self.on_established, DialEnded: self.on_dial_ended,
+            LoadTold: self.on_load, DelayTold: self.on_delay, Probed: self.on_probed, TimerDue: self.on_timer,
+        }  # fmt: skip
 
     def handle(self, now: int, event: Event) -> list[Action]:
         self.now = now
@@ -300,10 +293,8 @@
 
     def join(self, sess: Session, server: Server) -> None:
         sess.server = server
-        if sess.load is None:
-            server.lacking += 1
-        else:
-            server.told += sess.load
+        server.lacking += sess.load is None
+        server.told += sess.load or 0.0
 
     def leave(self, sess: Session) -> None:
         server = sess.server
@@ -580,10 +571,7 @@
         if len(self.kind_parts) > 1:
             tied: dict[int, list[Server]] = {}
             for server in ties:
-                if server.kind in tied:
-                    tied[server.kind].append(server)
-                else:
-                    tied[server.kind] = [server]
+                tied.setdefault(server.kind, []).append(server)
             ties = tied[self.choices(list(tied), [self.kind_parts[kind] for kind in tied])[0]]
         return self.choices(ties, [s.weight * s.pull for s in ties])[0]
 
