Cold servers get parts of a session by turns that come round evenly

Seen in warm-ups in virtual time (20 warm servers, 60 sessions a second; 300 warm-ups each; over N + 2 root N + 2 is a fall): with 10 sessions held a server 1, 5 and 8 of 300 fell at 8, 20 and 30 balancers, 14 at 20 where sessions come in bursts, 256, 294 and 276 with five servers cold at once; at 30 and 40 held 1 in bursts. Ruled out: sum_of_kind, whose parts add up to what is held where balancers hold some sessions. At fault: the chance was raised by chance_of, though a cold server refused among ties was asked for again by each next dial, and with certainty as the only tie left; `due` of eight dials strays; and the sum of many parts by chance strays by its root even when each is right, which uses up what the new term leaves.

Now a cold server's turn stands at a phase drawn once and comes round evenly: one balancer sends its part rounded up in any window at the most, however many dials ask. A part p is granted 0.3 p + 0.7 p^2 times a window and stays open for 1 - 0.8 p of it.

--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -79,7 +79,8 @@
         "asked_at", "asking", "cell", "crowded", "delay", "dials_out", "ease", "full_until", "handicap",
         "handicap_at", "index", "kind", "lacking", "luck", "luck_until", "most", "over", "pressure", "pull",
         "recent", "relieved_at", "sent", "sick", "silent_until", "slow_until", "standing", "started", "state",
-        "told", "told_at_report", "told_until", "trial_at", "trials", "waits", "weight", "zone",
+        "told", "told_at_report", "told_until", "trial_at", "trials", "turn", "turn_at", "waits", "weight",
+        "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Entry) -> None:
@@ -109,6 +110,8 @@
     def forget(self) -> None:
         self.luck = 1.0  # drawn for a window: with more room than this, in mean loads, a dial is let in
         self.luck_until = 0
+        self.turn = -1.0  # while cold: when its part of a session comes round; below 0: not drawn
+        self.turn_at = 0
         self.recent: deque[bool] = deque(maxlen=RECENT)  # set-ups: accepted or not
         self.sick = False
         self.trial_at = 0
@@ -151,6 +154,15 @@
         self.finished = False
 
 
+def turn_of(part: float) -> tuple[float, float]:
+    """How often in a window a part of a session, 0 to 1, is granted to a cold server, how much of the time.
+
+    Guards against many balancers whose turns or dials meet: the sum of small parts strays, so they get less.
+    """
+    often = part * (0.3 + 0.7 * part)
+    return often, often * (1 - 0.8 * part)
+
+
 class Balancer:
     def __init__(self, seed: int, deployment: Deployment) -> None:
         self.site = deployment
@@ -542,7 +554,9 @@
             best = ties
             while best:
                 asked = sess.asked_last in best  # its report was waited for
-                server = sess.asked_last if asked else self.draw(best)
+                # Cold ones come first among ties: guards against turns that pass unused where many tie.
+                first = best if asked else [s for s in best if self.is_cold(s)] or best
+                server = sess.asked_last if asked else self.draw(first)
                 cold = self.is_cold(server)
                 if not (cold or gated):
                     return server
@@ -550,14 +564,11 @@
                     carried[server.kind] = self.sum_of_kind(server.kind)
                 share = self.cold_part(server) if cold else BLIND
                 window = self.site.fall_window if cold else BLIND_FOR
-                warm = [s for s in ties if not self.is_cold(s)]
                 room = self.room_left(server, share * carried[server.kind], window)
-                among = ties if warm else [server]
-                if room >= ahead or (room > 0 and (asked or self.is_lucky(server, room, window, among))):
+                if room >= ahead or (room > 0 and self.may_grant(server, room, ahead, window, ties)):
                     return server
                 passed.add(server.index)
-                # Warm ones that tie come next; else the other cold ones, as each has a budget of its own.
-                best = [s for s in best if s is not server and not (cold and warm and self.is_cold(s))]
+                best = [s for s in best if s is not server]
         return None
 
     def draw(self, ties: list[Server]) -> Server:
@@ -718,16 +729,20 @@
             sent.popleft()
         return budget - sum(load for _, load in sent)
 
-    def is_lucky(self, server: Server, room: float, window: int, among: list[Server]) -> bool:
-        """Grants less room than a dial by chance, drawn once for a window however many dials ask in it.
+    def may_grant(self, server: Server, room: float, ahead: float, window: int, ties: list[Server]) -> bool:
+        """Grants less room than a dial in some windows only, however many dials ask in one.
 
-        Guards against many balancers that send one dial each and push the server over together. Where less
-        than one dial of a window is likely to ask, as one of these that tie, the chance is as much higher.
+        A cold server's turn comes round evenly from a start drawn once and lasts a window at the most. For a
+        warm one chance is drawn once for a window, as much higher as less than one dial is likely to ask, as
+        one of these that tie.
         """
-        due = len(self.came) * window / max(self.now - self.came[0], 1)
         if self.is_cold(server):
-            due = max(due, 1)  # a cold one is safe from any first burst
-        due *= self.chance_of(server, among)
+            often, share = turn_of(room / max(ahead, self.mean))
+            turned = often * (self.now - server.turn_at) / window
+            server.turn = self.uniform(0, 1) if server.turn < 0 else (server.turn + turned) % 1
+            server.turn_at = self.now
+            return server.turn < share
+        due = len(self.came) * window / max(self.now - self.came[0], 1) * self.chance_of(server, ties)
         if self.now >= server.luck_until:
             server.luck = self.uniform(0, 1)
             server.luck_until = self.now + window
