--- a/thymedeck/lab/__main__.py
+++ b/thymedeck/lab/__main__.py
@@ -4,7 +4,7 @@
 import sys
 
 from ..peers.stated import Unfit
-from . import talk
+from . import cold, talk
 from .measure import measure_processes
 from .play import Run
 from .scenario import read
@@ -26,7 +26,11 @@
     )
     peers.add_argument("--processes", action="store_true", help="real daemons on loopback, with and without")
     peers.add_argument("--acquainted", action="store_true", help="all have met each other at the start")
+    warm_ups = commands.add_parser("cold", help="measure what fleets send to cold servers, in virtual time")
+    cold.add_arguments(warm_ups)
     given = parser.parse_args()
+    if given.command == "cold":
+        return cold.main(given)
     if given.command == "peers" and given.processes:
         for size in given.balancers:
             print("\n".join(measure_processes(size, given.seed, round(given.quiet * talk.SECOND))))
