Cold parts are drawn once a window, as often as the sum of the fleet's draws leaves

At fault: a turn that waits open adds up when all dial at once after a pause, so small parts got 0.3 of the budget at every size, though the sum of many needs less room the larger it is.

Now the draw is made when the window's first dial asks, so a rush finds one draw and not two, and the share goes by what N + 2 root N + 2 leaves to a Poisson's sum.

--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -5,7 +5,7 @@
 import pytest
 
 from thymedeck.lab.cold import BEGIN, SITE, Case, Fleet, bounds, play, tail
-from thymedeck.policy import turn_of
+from thymedeck.policy import chance_for
 
 
 class Watched(Fleet):
@@ -50,19 +50,19 @@
 
 
 def test_parts_are_granted_as_often_as_stated() -> None:
-    """Many more dials than turns: what is sent is what the turns come to, and is not left unused."""
+    """Many more dials than draws: what is sent is what the chances come to, and is not left unused."""
     rounds, expected, sent = 10, 0.0, 0
     for seed in range(rounds):
         fleet = Fleet(Case(30, 20, rate=120.0), seed)
         for age in range(0, SITE.warm_after, SITE.warm_after // 20):
-            turns = sum(turn_of(part)[0] for part in fleet.parts(BEGIN + age))
-            expected += turns * SITE.warm_after / SITE.fall_window / 20
+            chances = sum(chance_for(part, 30) for part in fleet.parts(BEGIN + age))
+            expected += chances * SITE.warm_after / SITE.fall_window / 20
         sent += fleet.play().sent
     assert abs(sent - expected) < 3 * sqrt(expected)
 
 
 @pytest.mark.parametrize("case, rounds, least", [(Case(200, 40), 2, 0.1), (Case(30, 10), 16, 0.35)], ids=str)
-def test_turns_are_taken(case: Case, rounds: int, least: float) -> None:
+def test_budgets_are_used(case: Case, rounds: int, least: float) -> None:
     """Also where a balancer dials in about every other window, and where cold servers tie with warm ones."""
     seen = [play(case, seed) for seed in range(rounds)]
     assert sum(one.sent for one in seen) > least * sum(one.allowed for one in seen)
--- a/thymedeck/lab/cold.py
+++ b/thymedeck/lab/cold.py
@@ -19,7 +19,7 @@
 from msgspec.structs import replace
 
 from .. import interface as own
-from ..policy import SECOND, Balancer, turn_of
+from ..policy import SECOND, Balancer, chance_for
 
 LISTENER = own.Listener(3000, 12000, own.Effect.REPEATABLE, own.Scope.ALL, 50000, 1.0, 500)
 SITE = own.Deployment(
@@ -81,9 +81,9 @@
 def bounds(case: Case, seed: int, steps: int = 22) -> tuple[float, float]:
     """At most so many of all warm-ups see a fall, by the parts that the decisions of a fleet have.
 
-    First with more dials than turns: the sum over all sessions sent of the chance that the others of the
+    First with dials at every moment: the sum over all sessions sent of the chance that the others of the
     window before it fill it up. Then where all balancers dial at once after a window with no dial, at a time
-    drawn evenly, and have more dials than turns from then on.
+    drawn evenly, and at every moment from then on.
     """
     fleet = Fleet(case, seed)
     window, length = SITE.fall_window, SITE.warm_after
@@ -93,13 +93,10 @@
         counts = floor(limit(fleet.allowed(age), 2)) + 1
         parts = fleet.parts(BEGIN + int(max(age - window / 2, age / 2)))  # in the middle of the window
         sure = [floor(part) for part in parts]
-        parts = sorted(turn_of(part - one) for part, one in zip(parts, sure, strict=True))
-        # Within the window after the start turns have come round for its part only.
-        turns = [often * min(age / window, 1) for often, _ in parts]
-        sent = (sum(sure) + sum(often for often, _ in parts)) * length / steps / window
-        dense += sent * tail(turns[1:], counts - 1 - sum(sure))
-        both = [min(one + share, 1.0) for one, (_, share) in zip(turns, parts, strict=True)]
-        rush += tail(both, counts - sum(sure)) / steps
+        parts = sorted(chance_for(part - one, case.balancers) for part, one in zip(parts, sure, strict=True))
+        sent = (sum(sure) + sum(parts)) * length / steps / window
+        dense += sent * tail(parts[1:], counts - 1 - sum(sure))
+        rush += tail(parts, counts - sum(sure)) / steps
     return min(case.cold * dense, 1.0), min(case.cold * rush, 1.0)
 
 
--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -69,6 +69,7 @@
 LEAST_PULL = 1e-6  # so that ties without newcomers have a chance
 MOST_SPREAD = 0.4  # of that time, over all of them: a call that fails then still leaves time for another
 SLOW_RUN = 3  # last set-ups at a server that tell of slow messages where nothing else does
+STRAY = 2.3  # of the root of such a sum, a Poisson's: more comes in less than one window of 50,000
 PLANNED_DIALS = 3  # dials for which the time to the dial timeout is divided
 
 
@@ -79,7 +80,7 @@
         "asked_at", "asking", "cell", "crowded", "delay", "dials_out", "ease", "full_until", "handicap",
         "handicap_at", "index", "kind", "lacking", "luck", "luck_until", "most", "over", "pressure", "pull",
         "recent", "relieved_at", "sent", "sick", "silent_until", "slow_until", "standing", "started", "state",
-        "told", "told_at_report", "told_until", "trial_at", "trials", "turn", "turn_at", "waits", "weight",
+        "told", "told_at_report", "told_until", "trial_at", "trials", "waits", "weight",
         "zone",
     )  # fmt: skip
 
@@ -110,8 +111,6 @@
     def forget(self) -> None:
         self.luck = 1.0  # drawn for a window: with more room than this, in mean loads, a dial is let in
         self.luck_until = 0
-        self.turn = -1.0  # while cold: when its part of a session comes round; below 0: not drawn
-        self.turn_at = 0
         self.recent: deque[bool] = deque(maxlen=RECENT)  # set-ups: accepted or not
         self.sick = False
         self.trial_at = 0
@@ -154,13 +153,14 @@
         self.finished = False
 
 
-def turn_of(part: float) -> tuple[float, float]:
-    """How often in a window a part of a session, 0 to 1, is granted to a cold server, how much of the time.
+def chance_for(part: float, replicas: int) -> float:
+    """With which a part of a session, 0 to 1, is granted to a cold server in a window.
 
-    Guards against many balancers whose turns or dials meet: the sum of small parts strays, so they get less.
+    Guards against the sum of many such parts, which strays by its root and is to stay under N + 2 root N + 2.
     """
-    often = part * (0.3 + 0.7 * part)
-    return often, often * (1 - 0.8 * part)
+    total = max(part * replicas, 1)
+    least = max((((total**0.5 + 1) ** 2 + 1) ** 0.5 - STRAY) ** 2 / total if total > 5 else 0, 0.3)
+    return part * (least + (1 - least) * part**0.8)
 
 
 class Balancer:
@@ -554,7 +554,7 @@
             best = ties
             while best:
                 asked = sess.asked_last in best  # its report was waited for
-                # Cold ones come first among ties: guards against turns that pass unused where many tie.
+                # Cold ones come first among ties: guards against windows that pass unused where many tie.
                 first = best if asked else [s for s in best if self.is_cold(s)] or best
                 server = sess.asked_last if asked else self.draw(first)
                 cold = self.is_cold(server)
@@ -730,22 +730,17 @@
         return budget - sum(load for _, load in sent)
 
     def may_grant(self, server: Server, room: float, ahead: float, window: int, ties: list[Server]) -> bool:
-        """Grants less room than a dial in some windows only, however many dials ask in one.
+        """Grants less room than a dial by chance, drawn once for a window however many dials ask in it.
 
-        A cold server's turn comes round evenly from a start drawn once and lasts a window at the most. For a
-        warm one chance is drawn once for a window, as much higher as less than one dial is likely to ask, as
-        one of these that tie.
+        Guards against many balancers that send one dial each and push the server over together. For a warm
+        one it is as much higher as less than one dial is likely to ask, as one of these that tie.
         """
-        if self.is_cold(server):
-            often, share = turn_of(room / max(ahead, self.mean))
-            turned = often * (self.now - server.turn_at) / window
-            server.turn = self.uniform(0, 1) if server.turn < 0 else (server.turn + turned) % 1
-            server.turn_at = self.now
-            return server.turn < share
-        due = len(self.came) * window / max(self.now - self.came[0], 1) * self.chance_of(server, ties)
         if self.now >= server.luck_until:
             server.luck = self.uniform(0, 1)
             server.luck_until = self.now + window
+        if self.is_cold(server):
+            return server.luck < chance_for(room / max(ahead, self.mean), self.site.replicas)
+        due = len(self.came) * window / max(self.now - self.came[0], 1) * self.chance_of(server, ties)
         return server.luck * self.mean * min(due, 1) < room
 
     # Health
