A server that hangs is neither learnt as too heavily loaded nor counted as full

At fault: take_delay learnt the own sum of a server that had hung, often nothing, as more than it carries, and passed it over for 30 s; look_round counted hung servers among the full ones. Now neither from messages of half a second or more, nor where the sum is under half of the mean one.

--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -59,6 +59,7 @@
 CAP = 0.75  # load over what a server can do above which it is passed over while others are below
 RELIEF_FROM = 0.9  # reported load from which sessions are moved off: past 1 before the next report
 RELIEF_TO = 0.7  # and down to which, a little under the cap so that it is not back at once
+STUCK = SECOND // 2  # a message that takes longer tells of a server that hangs, not of a full one
 SHARE_STEP = 0.05  # of the own sum, what each further note of slow messages adds to what is moved
 BLIND = 2 * SHARE_STEP  # of what a server is to carry, what it may be sent before a note can tell of it
 BLIND_FOR = SECOND  # notes come as often
@@ -856,7 +857,7 @@
         self.with_room = 0
         for server in self.ready:
             pressed = self.is_pressed(server)
-            if server.standing or self.now <= server.told_until:
+            if (server.standing or self.now <= server.told_until) and not self.is_stuck(server):
                 heard += 1
                 full += pressed
             if not pressed and not server.sick and server.full_until <= self.now:
@@ -876,6 +877,9 @@
         """Nothing tells how this server does: no own session there, and it is no new one."""
         return not (server.standing or server.dials_out or self.is_cold(server))
 
+    def is_stuck(self, server: Server) -> bool:
+        return self.now <= server.slow_until and server.delay >= STUCK
+
     def is_jammed(self, server: Server) -> bool:
         """So far past its cap that its sessions are served badly whatever else happens."""
         slow = self.now <= server.slow_until and server.delay > self.shortest_aim
@@ -901,8 +905,9 @@
         server.slow_until = self.now + NOTE_LIFE if server.delay else -1
         if server.delay:
             self.look_round()
-            if self.with_room:
-                # With all of them slow it is not this sum that makes it slow.
+            carries = 2 * self.own_sum(server) >= self.mean_sum(self.ready or [server])
+            if self.with_room and carries and not self.is_stuck(server):
+                # With all of them slow, or where it hangs, it is not this sum that makes it slow.
                 server.crowded.append((self.now, HEADROOM * server.told))
                 server.most = min(load for _, load in server.crowded)
         if delay <= self.shortest_aim:
