--- a/thymedeck/lab/__main__.py
+++ b/thymedeck/lab/__main__.py
@@ -1,10 +1,10 @@
-"""`python -m thymedeck.lab`: `run` plays a scenario and prints what the checks saw, `peers` measures."""
+"""`python -m thymedeck.lab`: `run` plays a scenario and prints what the checks saw; `peers`, `cold` and `scale` measure."""
 
 import argparse
 import sys
 
 from ..peers.stated import Unfit
-from . import talk
+from . import cold, talk
 from .measure import measure_processes
 from .play import Run
 from .scenario import read
@@ -29,9 +29,13 @@
     from .scale import command as scale
 
     scale.add_to(commands)
+    warm_ups = commands.add_parser("cold", help="measure what fleets send to cold servers, in virtual time")
+    cold.add_arguments(warm_ups)
     given = parser.parse_args()
     if given.command == "scale":
         return scale.run(given)
+    if given.command == "cold":
+        return cold.main(given)
     if given.command == "peers" and given.processes:
         for size in given.balancers:
             print("\n".join(measure_processes(size, given.seed, round(given.quiet * talk.SECOND))))
--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -59,6 +59,7 @@
 CAP = 0.75  # load over what a server can do above which it is passed over while others are below
 RELIEF_FROM = 0.9  # reported load from which sessions are moved off: past 1 before the next report
 RELIEF_TO = 0.7  # and down to which, a little under the cap so that it is not back at once
+STUCK = SECOND // 2  # a message that takes longer tells of a server that hangs, not of a full one
 SHARE_STEP = 0.05  # of the own sum, what each further note of slow messages adds to what is moved
 BLIND = 2 * SHARE_STEP  # of what a server is to carry, what it may be sent before a note can tell of it
 BLIND_FOR = SECOND  # notes come as often
@@ -69,6 +70,7 @@
 LEAST_PULL = 1e-6  # so that ties without newcomers have a chance
 MOST_SPREAD = 0.4  # of that time, over all of them: a call that fails then still leaves time for another
 SLOW_RUN = 3  # last set-ups at a server that tell of slow messages where nothing else does
+STRAY = 2.3  # of the root of such a sum, a Poisson's: more comes in less than one window of 50,000
 PLANNED_DIALS = 3  # dials for which the time to the dial timeout is divided
 
 
@@ -79,7 +81,8 @@
         "asked_at", "asking", "cell", "crowded", "delay", "dials_out", "ease", "full_until", "handicap",
         "handicap_at", "index", "kind", "lacking", "luck", "luck_until", "most", "over", "pressure", "pull",
         "recent", "relieved_at", "sent", "sick", "silent_until", "slow_until", "standing", "started", "state",
-        "told", "told_at_report", "told_until", "trial_at", "trials", "waits", "weight", "zone",
+        "told", "told_at_report", "told_until", "trial_at", "trials", "waits", "weight",
+        "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Entry) -> None:
@@ -151,6 +154,16 @@
         self.finished = False
 
 
+def chance_for(part: float, replicas: int) -> float:
+    """With which a part of a session, 0 to 1, is granted to a cold server in a window.
+
+    Guards against the sum of many such parts, which strays by its root and is to stay under N + 2 root N + 2.
+    """
+    total = max(part * replicas, 1)
+    least = max((((total**0.5 + 1) ** 2 + 1) ** 0.5 - STRAY) ** 2 / total if total > 5 else 0, 0.3)
+    return part * (least + (1 - least) * part**0.8)
+
+
 class Balancer:
     def __init__(self, seed: int, deployment: Deployment) -> None:
         self.site = deployment
@@ -195,17 +208,10 @@
         self.work: dict[int, deque[tuple[bool, int]]] = {}  # by kind, the last set-ups: own zone or not, took
         self.crowd_at = -LOG_PAUSE - 1  # last refusal because every server was at its cap
         self.handlers: dict[type, Callable[[Event], None]] = {
-            ServerList: self.on_list,
-            SessionCame: self.on_came,
-            SessionStands: self.on_stands,
-            SessionLeft: self.on_left,
-            Established: self.on_established,
-            DialEnded: self.on_dial_ended,
-            LoadTold: self.on_load,
-            DelayTold: self.on_delay,
-            Probed: self.on_probed,
-            TimerDue: self.on_timer,
-        }
+            ServerList: self.on_list, SessionCame: self.on_came, SessionStands: self.on_stands,
+            SessionLeft: self.on_left, Established: self.on_established, DialEnded: self.on_dial_ended,
+            LoadTold: self.on_load, DelayTold: self.on_delay, Probed: self.on_probed, TimerDue: self.on_timer,
+        }  # fmt: skip
 
     def handle(self, now: int, event: Event) -> list[Action]:
         self.now = now
@@ -300,10 +306,8 @@
 
     def join(self, sess: Session, server: Server) -> None:
         sess.server = server
-        if sess.load is None:
-            server.lacking += 1
-        else:
-            server.told += sess.load
+        server.lacking += sess.load is None
+        server.told += sess.load or 0.0
 
     def leave(self, sess: Session) -> None:
         server = sess.server
@@ -551,7 +555,9 @@
             best = ties
             while best:
                 asked = sess.asked_last in best  # its report was waited for
-                server = sess.asked_last if asked else self.draw(best)
+                # Cold ones come first among ties: guards against windows that pass unused where many tie.
+                first = best if asked else [s for s in best if self.is_cold(s)] or best
+                server = sess.asked_last if asked else self.draw(first)
                 cold = self.is_cold(server)
                 if not (cold or gated):
                     return server
@@ -559,14 +565,11 @@
                     carried[server.kind] = self.sum_of_kind(server.kind)
                 share = self.cold_part(server) if cold else BLIND
                 window = self.site.fall_window if cold else BLIND_FOR
-                warm = [s for s in ties if not self.is_cold(s)]
                 room = self.room_left(server, share * carried[server.kind], window)
-                among = ties if warm else [server]
-                if room >= ahead or (room > 0 and (asked or self.is_lucky(server, room, window, among))):
+                if room >= ahead or (room > 0 and self.may_grant(server, room, ahead, window, ties)):
                     return server
                 passed.add(server.index)
-                # Warm ones that tie come next; else the other cold ones, as each has a budget of its own.
-                best = [s for s in best if s is not server and not (cold and warm and self.is_cold(s))]
+                best = [s for s in best if s is not server]
         return None
 
     def draw(self, ties: list[Server]) -> Server:
@@ -580,10 +583,7 @@
         if len(self.kind_parts) > 1:
             tied: dict[int, list[Server]] = {}
             for server in ties:
-                if server.kind in tied:
-                    tied[server.kind].append(server)
-                else:
-                    tied[server.kind] = [server]
+                tied.setdefault(server.kind, []).append(server)
             ties = tied[self.choices(list(tied), [self.kind_parts[kind] for kind in tied])[0]]
         return self.choices(ties, [s.weight * s.pull for s in ties])[0]
 
@@ -703,10 +703,10 @@
         fair = max(site.promised / max(self.most_listed, 1), 1) * self.mean / site.replicas
         warm = [s for s in self.ready if not self.is_cold(s)] or self.ready
         mean = self.mean_sum(warm)
-        if not mean:
-            return fair
         like = [s for s in warm if s.kind == kind] or warm
-        return max(self.mean_sum(like) * max(fair / mean, 1), self.mean / site.replicas)
+        # Less a session: guards against balancers that hold more than promised by chance, which add up.
+        held = mean - self.mean / len(warm) if site.promised else mean
+        return max(self.mean_sum(like) / mean * max(fair, held), self.mean / site.replicas) if mean else fair
 
     def is_gated(self) -> bool:
         """By the chance that a server is full, what the others are sent until the next note is bounded.
@@ -730,19 +730,18 @@
             sent.popleft()
         return budget - sum(load for _, load in sent)
 
-    def is_lucky(self, server: Server, room: float, window: int, among: list[Server]) -> bool:
+    def may_grant(self, server: Server, room: float, ahead: float, window: int, ties: list[Server]) -> bool:
         """Grants less room than a dial by chance, drawn once for a window however many dials ask in it.
 
-        Guards against many balancers that send one dial each and push the server over together. Where less
-        than one dial of a window is likely to ask, as one of these that tie, the chance is as much higher.
+        Guards against many balancers that send one dial each and push the server over together. For a warm
+        one it is as much higher as less than one dial is likely to ask, as one of these that tie.
         """
-        due = len(self.came) * window / max(self.now - self.came[0], 1)
-        if self.is_cold(server):
-            due = max(due, 1)  # a cold one is safe from any first burst
-        due *= self.chance_of(server, among)
         if self.now >= server.luck_until:
             server.luck = self.uniform(0, 1)
             server.luck_until = self.now + window
+        if self.is_cold(server):
+            return server.luck < chance_for(room / max(ahead, self.mean), self.site.replicas)
+        due = len(self.came) * window / max(self.now - self.came[0], 1) * self.chance_of(server, ties)
         return server.luck * self.mean * min(due, 1) < room
 
     # Health
@@ -858,7 +857,7 @@
         self.with_room = 0
         for server in self.ready:
             pressed = self.is_pressed(server)
-            if server.standing or self.now <= server.told_until:
+            if (server.standing or self.now <= server.told_until) and not self.is_stuck(server):
                 heard += 1
                 full += pressed
             if not pressed and not server.sick and server.full_until <= self.now:
@@ -878,6 +877,9 @@
         """Nothing tells how this server does: no own session there, and it is no new one."""
         return not (server.standing or server.dials_out or self.is_cold(server))
 
+    def is_stuck(self, server: Server) -> bool:
+        return self.now <= server.slow_until and server.delay >= STUCK
+
     def is_jammed(self, server: Server) -> bool:
         """So far past its cap that its sessions are served badly whatever else happens."""
         slow = self.now <= server.slow_until and server.delay > self.shortest_aim
@@ -903,8 +905,9 @@
         server.slow_until = self.now + NOTE_LIFE if server.delay else -1
         if server.delay:
             self.look_round()
-            if self.with_room:
-                # With all of them slow it is not this sum that makes it slow.
+            carries = 2 * self.own_sum(server) >= self.mean_sum(self.ready or [server])
+            if self.with_room and carries and not self.is_stuck(server):
+                # With all of them slow, or where it hangs, it is not this sum that makes it slow.
                 server.crowded.append((self.now, HEADROOM * server.told))
                 server.most = min(load for _, load in server.crowded)
         if delay <= self.shortest_aim:
