--- a/thymedeck/lab/__main__.py
+++ b/thymedeck/lab/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m thymedeck.lab`: `run` plays a scenario and prints what the checks saw; `peers`, `cold` and `scale` measure."""
+"""`python -m thymedeck.lab`: `run` plays a scenario and prints its checks; `peers`, `cold`, `scale` measure."""
 
 import argparse
 import sys
