SIGHUP to another list service: each asks within its spread, in one row of calls

Seen: 200 balancers that are told together that the service has moved called in the same instant. A service of 28 calls a second refused 518 of 718 calls until all had the list, 13.7 s later; where a refusal costs as much as an answer (40 calls a second) they never had it. And while calls failed each SIGHUP added a row of calls: the pause that was running at the old service went on beside that of the new one's failure. At fault: `Follower.turn_to`, which asked at once, and `carry_out`, which let the old timer run. Changed: what is known is then a list of before, as at a start, and the decisions spread the call (0.005 of the time for asking for each balancer, 3.8 s at most); where lists are pushed it goes out at once as before. A timer for the list replaces the one before it. With the same address the next call keeps its time.

Tests: `reload_as_list_fails` fails without the replaced timer and where the same address asks at once, the fleet's `moved` where all call at once.

--- a/tests/list_calls.py
+++ b/tests/list_calls.py
@@ -72,7 +72,16 @@
     stage.list.watches.clear()
 
 
-TROUBLES: tuple[Callable[[Virtual], None], ...] = (restarted, reset, down, silent)
+def moved(stage: Virtual) -> None:
+    """The service is down for eight seconds, then all are told at once that it has moved."""
+    down(stage)
+    for name in stage.services:
+        address = ("10.2.0.1", 20_000 + int(name[1:]))
+        stage.list.open_for(name, address)
+        stage.services[name].follower.turn_to(address)
+
+
+TROUBLES: tuple[Callable[[Virtual], None], ...] = (restarted, reset, down, silent, moved)
 
 
 def play(stage: Virtual, trouble: Callable[[Virtual], None]) -> Seen:
--- a/thymedeck/net/serverlist.py
+++ b/thymedeck/net/serverlist.py
@@ -164,14 +164,14 @@
             self.ask(0, in_turn)
 
     def turn_to(self, address: tuple[str, int]) -> None:
-        """Asks another address for the whole list at once; nothing of the old one counts any more."""
-        if address == self.address and self.following:
-            return
+        """Asks another address for the whole list; nothing of the old one counts any more."""
+        if address == self.address:
+            return  # it is watched, or the next call has its time
         self.close()
         self.address = address
         self.version = -1
         self.following = False
-        self.follow()
+        self.service.list_moved()
 
     def ask(self, wait: int, in_turn: bool = False) -> None:
         self.in_turn = in_turn
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -112,6 +112,7 @@
         self.connected: dict[Client, None] = {}  # all whose connection is open, in their order
         self.loose: dict[Client, None] = {}  # those that no session needs, oldest first
         self.next_sess = 0
+        self.list_due = self.loop.after(0, lambda: None)  # when the decisions ask for the list again
         self.dials = 0  # made since the start, but those of sessions that stood before
         self.events: deque[own.Event] = deque()
         self.telling = False
@@ -164,7 +165,11 @@
                 self.dial(action)
             case own.SetTimer():
                 due = own.TimerDue(action.timer, action.index)
-                self.loop.after(action.after, lambda: self.tell(due))
+                set_now = self.loop.after(action.after, lambda: self.tell(due))
+                if action.timer is own.Timer.LIST:
+                    # Guards against one more chain of calls for each SIGHUP while the list can't be had.
+                    self.list_due.cancel()
+                    self.list_due = set_now
             case own.Refuse():
                 line = b"BUSY %d\r\n" % (action.come_back // 10) if action.come_back else b"BUSY\r\n"
                 self.answer(action.sess, line)
@@ -442,6 +447,14 @@
         for at, client in enumerate(standing):
             self.loop.after(int(span * (at + self.uniform(0, 1)) / len(standing)), client.move)
 
+    def list_moved(self) -> None:
+        """What is known is of before, as at a start. Guards against all that are told so calling at once."""
+        if self.site.list_on_request:
+            entries = [known.entry for known in self.servers if known.entry is not None]
+            self.tell(own.ServerList(own.ListKind.SAVED, entries))
+        else:
+            self.follower.follow()
+
     def list_failed(self, why: str, out: int, in_turn: bool) -> None:
         self.log("list_failed", why=why)
         # The decisions ask again, spread by chance. Guards against many balancers that call in step.
