A balancer whose file names no list of before asks for one

Seen while walking through the paths to the list: where lists are asked for, only the list of before makes the decisions ask (`SAVED`). A file without `known` is read without a word, and its balancer refused every session for good. At fault: `Service.__init__`, which told nothing then. Changed: no list is told as an empty one, and the first call asks for the whole. Test: `start_without_list` (no call comes without the change).

--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -18,6 +18,7 @@
     server N stuffs          sends lines as long as any are taken; `client N drains` reads them
     list indents N KIND ...  `list says` with one of over 8 kB; `list nests N` with too many brackets
     stop, reload same|other  SIGTERM and SIGHUP are heard
+    nothing known            before `start`: the file names no list
     settings NAME            those of tests/scenarios/settings, before `start`
     breaks ACTION            the next such action of the decisions fails in the service
     ended                    the service has stopped within ten seconds, and the process is gone
@@ -163,8 +164,13 @@
         told = json.loads(super().told())
         if self.descriptors:
             told["limits"] = {"sockets": self.descriptors}
+        if self.known is None:
+            del told["known"]
         return json.dumps(told)
 
+    def on_nothing(self, _: str) -> None:
+        self.known = None
+
     def on_settings(self, name: str) -> None:
         self.settings = json.loads((self.path.parents[1] / "settings" / f"{name}.json").read_text())
 
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -121,11 +121,11 @@
         self.late = False  # the time left is for moving what stands
         self.closing = False  # and now for what is said last: nothing is sent on any more
         self.door: Door | None = None
-        version = -1 if told.known is None else told.known.version
-        self.follower = Follower(self, start.discovery, self.site, version)
+        # Guards against a balancer that is told no list and never asks for one.
+        known = told.known or Listing(version=-1)
+        self.follower = Follower(self, start.discovery, self.site, known.version)
         self.listen = start.listen
-        if told.known is not None:
-            self.take_list(told.known, own.ListKind.SAVED)
+        self.take_list(known, own.ListKind.SAVED)
         if not self.site.list_on_request:
             self.follower.follow()
 
