An answer of the list service that never ends is cut off by its size

Seen: `Call.read` goes on while bytes come, so that a list is taken whole before a session's line; only the body was bounded (8 MB). A head, a trailer or a chunk's size without an end, sent as fast as it is read, held the loop for good: no client had its turn and no timer was due. Ruled out: answers that come slowly; no byte gives a call more time. Changed: what has come of an answer is counted, 64 kB of head and 8 MB in all. Tests: `list_head_without_end`, `list_body_without_end` (which also sends a chunk's size without an end) fail without the count, the former with one limit for both (the parser joins a head's pieces anew with each).

--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -16,6 +16,7 @@
     within MS STEP           in the middle of the next turn, before it reads, this step and so much time
     full A, full list        connections to that server, or to discovery, no longer come up
     server N stuffs          sends lines as long as any are taken; `client N drains` reads them
+    list floods HEAD BYTES   sends HEAD, then so many bytes as fast as they are taken, until it is cut off
     list indents N KIND ...  `list says` with one of over 8 kB; `list nests N` with too many brackets
     stop, reload same|other  SIGTERM and SIGHUP are heard
     nothing known            before `start`: the file names no list
@@ -326,6 +327,10 @@
             self.reply("200 OK", json.dumps({"version": int(version), "servers": entries}, indent=9_000))
         elif verb == "nests":
             self.reply("200 OK", '{"version": ' + text + ', "more": ' + "[" * 100_000)
+        elif verb == "floods":
+            head, _, count = text.rpartition(" ")
+            self.left = head.encode().decode("unicode_escape").encode() + b"x" * int(count)
+            self.flood(self.calls[-1].sock)
         elif verb == "comes":
             for _ in range(0, int(text), STEP):
                 if self.call_waits():
@@ -337,6 +342,15 @@
         else:
             super().on_list(verb, text)
 
+    def flood(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        while self.left:
+            try:
+                self.stuff(sock)
+            except ConnectionError:
+                return
+            self.turn()
+
     def call_waits(self) -> bool:
         """On a new connection or on the one that is kept."""
         kept = [call.sock for call in self.calls[-1:] if call.sock.fileno() >= 0]
--- a/thymedeck/net/serverlist.py
+++ b/thymedeck/net/serverlist.py
@@ -20,6 +20,7 @@
 LONGEST_WAIT = 600_000
 STALE_WITHIN = 500  # a kept connection that ends this soon after a call had been ended before it
 LARGEST_ANSWER = 8 << 20
+LARGEST_HEAD = 1 << 16
 
 decode = msgspec.json.Decoder(Listing).decode
 
@@ -38,6 +39,7 @@
         self.stale_until = 0 if self.connecting else self.loop.now() + STALE_WITHIN
         self.parser: Any = httptools.HttpResponseParser(self)
         self.body = bytearray()
+        self.taken = 0  # bytes of the answer
         self.heard = False  # something of the answer has come
         self.complete = False  # the answer is whole; the connection is no longer needed for it
         self.answer: tuple[int, bytes, bool] | None = None  # not yet given to the follower
@@ -77,6 +79,11 @@
     def on_bytes(self, count: int) -> None:
         self.heard = True
         data = self.inbound.take()
+        self.taken += count
+        if self.taken > (LARGEST_ANSWER if self.headed else LARGEST_HEAD):
+            # Guards against what has no end, of which `read` would go on taking while all else waits.
+            self.lost("answer too large")
+            return
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as why:
@@ -102,8 +109,6 @@
 
     def on_body(self, data: bytes) -> None:
         self.body += data
-        if len(self.body) > LARGEST_ANSWER:
-            raise ValueError("answer too large")
 
     def on_message_complete(self) -> None:
         self.due.cancel()
