--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -11,6 +11,7 @@
     server N arrives, list arrives, list unseen (no call waits there)
     held COUNT               so many sessions are held by the decisions
     nothing dialled [A]      no dial waits at any server, or at this one
+    list comes MS            the clock moves on until a call for the list comes, by MS at the most
     turn [COUNT]             the loop turns so often and waits for nothing
     first client|server N    of what is ready in one turn that comes first; or `first door`
     later MS                 the clock moves on with no turn, as if the process had stood still
@@ -18,8 +19,10 @@
     within MS STEP           in the middle of the next turn, before it reads, this step and so much time
     full A, full list        connections to that server, or to discovery, no longer come up
     server N stuffs          sends lines as long as any are taken; `client N drains` reads them
+    list floods HEAD BYTES   sends HEAD, then so many bytes as fast as they are taken, until it is cut off
     list indents N KIND ...  `list says` with one of over 8 kB; `list nests N` with too many brackets
     stop, reload same|other  SIGTERM and SIGHUP are heard
+    without list             before `start`: the file names no list
     settings NAME            those of tests/scenarios/settings, before `start`
     breaks ACTION            the next such action of the decisions fails in the service
     ended                    the service has stopped within ten seconds, and the process is gone
@@ -180,8 +183,13 @@
         told = json.loads(super().told())
         if self.descriptors:
             told["limits"] = {"sockets": self.descriptors}
+        if self.known is None:
+            del told["known"]
         return json.dumps(told)
 
+    def on_without(self, _: str) -> None:
+        self.known = None
+
     def on_settings(self, name: str) -> None:
         self.settings = json.loads((self.path.parents[1] / "settings" / f"{name}.json").read_text())
 
@@ -351,11 +359,36 @@
             self.reply("200 OK", json.dumps({"version": int(version), "servers": entries}, indent=9_000))
         elif verb == "nests":
             self.reply("200 OK", '{"version": ' + text + ', "more": ' + "[" * 100_000)
+        elif verb == "floods":
+            head, _, count = text.rpartition(" ")
+            self.left = head.encode().decode("unicode_escape").encode() + b"x" * int(count)
+            self.flood(self.calls[-1].sock)
+        elif verb == "comes":
+            for _ in range(0, int(text), STEP):
+                if self.call_waits():
+                    return
+                self.on_passes(str(STEP))
+            assert self.call_waits(), "no call in time"
         elif verb == "unseen":
             assert not select.select([self.discovery], [], [], 0)[0], "a call waits"
         else:
             super().on_list(verb, text)
 
+    def flood(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        while self.left:
+            try:
+                self.stuff(sock)
+            except ConnectionError:
+                return
+            self.turn()
+
+    def call_waits(self) -> bool:
+        """On a new connection or on the one that is kept."""
+        kept = [call.sock for call in self.calls[-1:] if call.sock.fileno() >= 0]
+        found = select.select([self.discovery, *kept], [], [], 0)[0]
+        return any(sock is self.discovery or sock.recv(1, socket.MSG_PEEK) for sock in found)
+
     def take_call(self) -> None:
         self.pump(lambda: select.select([self.discovery], [], [], 0)[0], "no call")
         self.calls.append(StepPeer(self.discovery.accept()[0], self.pump))
