--- a/thymedeck/lab/__main__.py
+++ b/thymedeck/lab/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m thymedeck.lab`: `run` plays scenarios and prints their checks; `peers`, `cold`, `scale` measure."""
+"""`python -m thymedeck.lab`: `run` plays scenarios and prints their checks; the others measure."""
 
 import argparse
 import sys
