Configuration: tests of refusals, stale keepers, regions cut off, crashes in a commit

Reports that keepers pass on are those of the last half second: older ones counted as heard anew, so a region cut off looked heard for up to 6 s.

--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,4 +1,4 @@
-"""Keepers and followers of a configuration: whatever is lost, repeated, reordered, cut, crashed and started again."""
+"""Keepers and followers of a configuration, whatever is lost, repeated, late, cut, crashed or started anew."""
 
 import subprocess
 import sys
@@ -65,6 +65,15 @@
     ]
 
 
+def cut_region(fleet: Fleet, which: int, until: int = FOREVER) -> None:
+    """From the others; inside it all goes on."""
+    inside, outside = f"*.{which}", f"*.[!{which}]"
+    fleet.faults.entries += [
+        Fault(fleet.now, until, source=inside, target=outside, cut=True),
+        Fault(fleet.now, until, source=outside, target=inside, cut=True),
+    ]
+
+
 def logged(fleet: Fleet, event: str) -> list[tuple[int, str]]:
     return [(at, name) for at, name, log in fleet.logs if log.event == event]
 
@@ -81,8 +90,8 @@
 # Schedules
 
 KINDS = (
-    "change", "change", "bad", "cut", "cut_one_way", "cut_pair", "region", "lose", "repeat", "reorder", "kill",
-    "crash_inside", "start", "freeze", "wake", "heal",
+    "change", "change", "bad", "cut", "cut_one_way", "cut_pair", "region", "lose", "repeat", "reorder",
+    "kill", "crash_inside", "start", "freeze", "wake", "heal",
 )  # fmt: skip
 STEPS = st.lists(
     st.tuples(st.sampled_from(KINDS), st.integers(0, 12), st.integers(0, 3 * SECOND)), min_size=5, max_size=25
@@ -104,7 +113,7 @@
     elif kind == "cut_pair":
         fleet.faults.entries.append(Fault(now, FOREVER, source=name, target=keeper, cut=True))
     elif kind == "region":
-        cut(fleet, f"*.{which % 3}", now + 4 * SECOND)
+        cut_region(fleet, which % 3, now + 4 * SECOND)
     elif kind in ("lose", "repeat"):
         fleet.faults.entries.append(Fault(now, now + 5 * SECOND, **{kind: 0.4}))
     elif kind == "reorder":
@@ -159,3 +168,284 @@
         assert logged(fleet, "configuration_split")
     elif fleet.now - max(healed, fleet.committed_at[last]) >= BOUND:
         assert [node.name for node in followers(fleet) if node.in_force != last] == []
+
+
+# What may not happen to a change
+
+
+def test_an_unfit_change_is_refused_by_the_keeper_and_never_proposed() -> None:
+    fleet = fleet_with_first()
+    fleet.change(fleet.keepers[1], Change(7, 1, b"bad"))
+    fleet.run(fleet.now + 2 * BOUND)
+    assert [answer for _, _, answer in fleet.answers][-1] == (7, Outcome.UNFIT, 1)
+    (line,) = [log for _, _, log in fleet.logs if log.event == "configuration_unfit"]
+    assert line.fields == {"entry": "limits.sockets", "reason": "is under 1", "base": 1}
+    assert list(fleet.contents) == [1]
+
+
+def test_what_followers_alone_refuse_is_in_force_nowhere_and_withdrawn_within_the_bound() -> None:
+    """Where programs differ: keepers let it pass."""
+    fleet = fleet_with_first(checked_by_keepers=False)
+    fleet.change(fleet.keepers[1], Change(7, 1, b"bad"))
+    asked = fleet.now
+    fleet.run(asked + BOUND)
+    assert 2 not in fleet.applied
+    assert {node.in_force for node in followers(fleet)} == {3}
+    assert (fleet.contents[3], fleet.faults_of_versions()) == ({b"first"}, [])
+    for name in fleet.followers:
+        (line,) = [log for _, at, log in fleet.logs if at == name and log.event == "configuration_refused"]
+        wanted = {"file": f"{name}.saved", "number": 2, "entry": "limits.sockets", "reason": "is under 1"}
+        assert line.fields == wanted
+
+
+def test_a_withdrawal_is_not_withdrawn() -> None:
+    """Everybody refuses what was before as well: the keepers say that the fleet is split, and stop."""
+    fleet = fleet_with_first(checked_by_keepers=False)
+    fleet.check = lambda _: Unfit("all", "is unfit")
+    for name in fleet.followers:
+        fleet.nodes[name].mind.check = fleet.check
+    fleet.change(fleet.keepers[1], Change(7, 1, b"bad"))
+    fleet.run(fleet.now + 10 * BOUND)
+    assert sorted(fleet.contents) == [1, 2, 3]
+    assert len({name for _, name in logged(fleet, "configuration_split")}) == 4
+    assert {node.in_force for node in followers(fleet)} == {1}
+
+
+def test_a_change_made_on_an_old_version_undoes_nothing() -> None:
+    fleet = fleet_with_first()
+    fleet.change(fleet.keepers[0], Change(1, 1, b"one"))
+    fleet.run(fleet.now + SECOND)
+    fleet.change(fleet.keepers[2], Change(2, 1, b"two"))
+    fleet.run(fleet.now + SECOND)
+    assert [answer for _, _, answer in fleet.answers][-1] == (2, Outcome.OUTDATED, 2)
+    assert fleet.contents[2] == {b"one"}
+
+
+def test_changes_at_all_keepers_at_once_one_is_committed() -> None:
+    fleet = fleet_with_first()
+    for at, name in enumerate(fleet.keepers):
+        fleet.change(name, Change(at + 1, 1, b"change %d" % at))
+    fleet.run(fleet.now + 2 * BOUND)
+    outcomes = Counter(answer.outcome for _, _, answer in fleet.answers[1:])
+    assert outcomes == {Outcome.COMMITTED: 1, Outcome.OUTDATED: 3}
+    assert sorted(fleet.contents) == [1, 2]
+
+
+def test_two_keepers_lost_nothing_is_committed_until_one_is_back_and_all_say_what_they_know() -> None:
+    fleet = fleet_with_first()
+    fleet.kill(fleet.keepers[0])
+    cut(fleet, fleet.keepers[1])
+    fleet.run(fleet.now + BOUND)
+    fleet.change(fleet.keepers[2], Change(7, 1, b"two"))
+    fleet.run(fleet.now + 11 * SECOND)
+    assert [answer for _, _, answer in fleet.answers][-1] == (7, Outcome.NOT_COMMITTED, 1)
+    # The two left know that nobody could commit without one of them; the one cut off doesn't.
+    assert [fleet.nodes[name].mind.is_fresh(fleet.now) for name in fleet.keepers[1:]] == [False, True, True]
+    assert [name for at, name in logged(fleet, "keeper_stale") if at > 5 * SECOND] == [fleet.keepers[1]]
+    assert logged(fleet, "configuration_unheard") == []
+    fleet.faults.entries.clear()
+    fleet.change(fleet.keepers[2], Change(8, 1, b"two"))
+    healed = fleet.now
+    fleet.run(healed + BOUND)
+    assert {node.in_force for node in followers(fleet)} == {2}
+
+
+def test_a_proposer_that_dies_between_its_commit_and_its_word_is_made_good_by_another() -> None:
+    fleet = fleet_with_first()
+    fleet.change(fleet.keepers[0], Change(7, 1, b"two"))
+    while fleet.nodes[fleet.keepers[0]].mind.state.accepted.number < 2:
+        fleet.run(fleet.now + 1)
+    fleet.kill(fleet.keepers[0])
+    fleet.run(fleet.now + BOUND)
+    assert {node.in_force for node in followers(fleet)} == {2}
+
+
+# A part that hears nothing
+
+
+def test_a_region_cut_off_says_so_once_and_has_the_last_within_the_bound_of_healing() -> None:
+    """With its keeper: two of four are in region 0, and one in each other."""
+    fleet = fleet_with_first(followers=12)
+    cut_region(fleet, 1)
+    fleet.run(fleet.now + SECOND)
+    fleet.change(fleet.keepers[0], Change(7, 1, b"two"))
+    fleet.run(fleet.now + 30 * SECOND)
+    alone = [name for name in fleet.followers if name.endswith(".1")]
+    assert {
+        name for name, node in fleet.nodes.items() if name in fleet.followers and node.in_force == 2
+    } == set(fleet.followers) - set(alone)
+    assert sorted(name for _, name in logged(fleet, "configuration_unheard")) == sorted(alone)
+    split = [log.fields for _, _, log in fleet.logs if log.event == "configuration_split"]
+    assert split and all(fields["unheard"] == 4 for fields in split)
+    fleet.faults.entries.clear()
+    fleet.run(fleet.now + BOUND)
+    assert {node.in_force for node in followers(fleet)} == {2}
+    assert sorted(name for _, name in logged(fleet, "configuration_heard")) == sorted(alone)
+    fleet.run(fleet.now + BOUND)
+    assert len(logged(fleet, "configuration_whole")) == len(split)
+
+
+def test_a_third_frozen_and_woken_has_the_last_within_the_bound() -> None:
+    fleet = fleet_with_first(followers=12)
+    third = [fleet.keepers[1], *fleet.followers[::3]]
+    for name in third:
+        fleet.freeze(name)
+    fleet.change(fleet.keepers[0], Change(7, 1, b"two"))
+    fleet.run(fleet.now + 60 * SECOND)
+    assert sum(node.in_force == 2 for node in followers(fleet)) == 8
+    for name in third:
+        fleet.wake(name)
+    fleet.run(fleet.now + BOUND)
+    assert {node.in_force for node in followers(fleet)} == {2}
+    assert fleet.faults_of_versions() == []
+
+
+def test_what_is_sent_unasked_and_lost_is_asked_for_within_the_bound() -> None:
+    fleet = fleet_with_first()
+    fleet.change(fleet.keepers[0], Change(7, 1, b"two"))
+    while fleet.committed() < 2:
+        fleet.run(fleet.now + 1)
+    fleet.faults.entries.append(Fault(fleet.now, fleet.now + SECOND // 2, target="b*", lose=1.0))
+    fleet.run(fleet.now + BOUND)
+    assert {node.in_force for node in followers(fleet)} == {2}
+
+
+# The keeper alone
+
+KEEPERS = ("k0", "k1", "k2", "k3")
+
+
+def keeper(stored: Stored | None = None) -> Keeper:
+    return Keeper("k1", KEEPERS, Bounds(), check, 1, 0, stored)
+
+
+def sent(actions: list, kind: type) -> list:
+    return [action.message for action in actions if type(action) is Send and type(action.message) is kind]
+
+
+def test_what_is_promised_or_accepted_is_on_the_disk_before_it_is_said_and_outlives_a_restart() -> None:
+    one = keeper()
+    actions = one.handle(1, Came("k3", Prepare((4, 3))))
+    assert [type(action) for action in actions[:2]] == [Save, Send]
+    again = keeper(actions[0].state)
+    assert sent(again.handle(2, Came("k0", Prepare((4, 0)))), Refusal) == [Refusal((4, 0), (4, 3))]
+    assert sent(again.handle(3, Came("k0", Accept((4, 0), Version(1, b"x")))), Refusal)
+    actions = again.handle(4, Came("k3", Accept((4, 3), Version(1, b"x"))))
+    assert [type(action) for action in actions[:2]] == [Save, Send]
+    last = keeper(actions[0].state)
+    (promise,) = sent(last.handle(5, Came("k0", Prepare((5, 0)))), Promise)
+    assert promise == Promise((5, 0), (4, 3), Version(1, b"x"))
+
+
+def test_a_keeper_stale_by_an_hour_tells_no_version_before_it_has_caught_up() -> None:
+    old = Version(5, b"old")
+    one = keeper(Stored(committed=old, accepted=old, accepted_in=(1, 0), promised=(1, 0)))
+    (read, *_) = sent(one.handle(0, Tick()), Read)
+    answer = ReadAnswer(read.nonce, 5, 5)
+    one.handle(10, Came("k0", answer))
+    assert sent(one.handle(20, Came("b", Ask(3, 0, 0))), Tell) == [Tell(3, True, 5, b"old")]
+    # An hour later: what waited in its sockets comes first.
+    assert sent(one.handle(HOUR, Came("b", Ask(4, 0, 0))), Tell) == [Tell(4, False)]
+    (read, *_) = sent(one.handle(HOUR + 1 + SECOND, Tick()), Read)
+    now = HOUR + 2 + SECOND
+    one.handle(now, Came("k0", answer))
+    one.handle(now, Came("k2", answer))
+    assert not one.is_fresh(now)
+    # One that has accepted more than is known to be committed doesn't count either.
+    one.handle(now, Came("k2", ReadAnswer(read.nonce, 5, 6)))
+    assert not one.is_fresh(now)
+    one.handle(now, Came("k3", ReadAnswer(read.nonce, 6, 6, Version(6, b"new"))))
+    assert one.is_fresh(now)
+    assert sent(one.handle(now, Came("b", Ask(5, 5, 0))), Tell) == [Tell(5, True, 6, b"new")]
+
+
+def test_only_a_keeper_is_heard_as_one() -> None:
+    one = keeper()
+    for message in (
+        Prepare((4, 3)),
+        Accept((4, 3), Version(1, b"x")),
+        Committed(Version(1, b"x")),
+        Accepted((1, 1)),
+    ):
+        one.handle(1, Came("b7", message))
+    assert one.state == Stored()
+
+
+# The follower alone
+
+
+def follower(saved: Version = Version(), seed: int = 1) -> Follower:  # noqa: B008 (it is frozen)
+    return Follower(KEEPERS, Bounds(), check, seed, 0, saved, "b.saved")
+
+
+def test_a_follower_takes_only_newer_ones_saves_them_first_and_begins_with_its_last() -> None:
+    one = follower(Version(3, b"three"))
+    assert one.in_force == Version(3, b"three")
+    assert one.handle(1, Came("k0", Tell(0, True, 2, b"two"))) == []
+    assert one.handle(2, Came("k0", Tell(0, True, 3, b"other"))) == []
+    actions = one.handle(3, Came("k0", Tell(0, True, 5, b"five")))
+    assert actions == [Save(Version(5, b"five")), Apply(5, b"five")]
+    assert one.handle(4, Came("k0", Tell(0, True, 4, b"four"))) == []
+    assert one.handle(5, Came("somebody", Tell(0, True, 9, b"nine"))) == []
+    assert one.handle(6, Came("k0", Tell(0, True, 5, b"five"))) == []
+
+
+def test_a_follower_refuses_once_tells_its_keeper_at_once_and_keeps_the_last_good_one() -> None:
+    one = follower(Version(3, b"three"))
+    actions = one.handle(1, Came("k0", Tell(0, True, 4, b"bad")))
+    assert [type(action) for action in actions] == [Log, Send]
+    assert (actions[1].message.in_force, actions[1].message.refused) == (3, 4)
+    assert one.handle(2, Came("k1", Tell(0, True, 4, b"bad"))) == []
+    assert one.in_force.number == 3
+    assert one.handle(3, Came("k1", Tell(0, True, 5, b"good")))[1] == Apply(5, b"good")
+
+
+def test_a_follower_that_hears_nothing_for_an_hour_says_so_once_and_asks_all_in_turn() -> None:
+    one = follower()
+    asked: list[str] = []
+    lines: list[tuple[int, str]] = []
+    now = 0
+    while now < HOUR // 60:
+        now = max(now, one.due)
+        for action in one.handle(now, Tick()):
+            if type(action) is Send:
+                asked.append(action.target)
+            if type(action) is Log:
+                lines.append((now, action.event))
+    assert lines == [(BOUND + 1, "configuration_unheard")]
+    assert set(Counter(asked).values()) <= {len(asked) // 4, len(asked) // 4 + 1}
+    assert len(asked) <= 4 * (60 / 0.9 + 1)  # all four, once in a time between two asks
+
+
+def test_late_answers_and_those_of_stale_keepers_are_no_news() -> None:
+    one = follower()
+    now = one.due
+    (send,) = one.handle(now, Tick())
+    (again,) = one.handle(now + 1, Came(send.target, Tell(send.message.nonce, False)))
+    assert again.target != send.target
+    one.handle(now + 2, Came(send.target, Tell(send.message.nonce, True)))
+    assert one.fresh_at == 0
+    one.handle(now + 3, Came(again.target, Tell(again.message.nonce, True)))
+    assert one.fresh_at == now + 1
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        Prepare((1, 2)), Promise((1, 2), (0, 0), Version()), Accept((1, 2), Version(1, b"x", b"y", 0)),
+        Accepted((1, 2)), Refusal((1, 2), (3, 0)), Committed(Version(1, b"x")), Read(1, 2, [("b", 1, 0)]),
+        ReadAnswer(1, 2, 3, Version(2, b"")), Ask(1, 2, 3), Tell(1, True, 2, b"x"),
+    ],
+)  # fmt: skip
+def test_messages_come_out_as_they_went_in(message: object) -> None:
+    assert decode(encode(message)) == message
+
+
+def test_serving_knows_nothing_of_it() -> None:
+    told = subprocess.run(
+        [sys.executable, "-c", "import sys, thymedeck.__main__, thymedeck.net.service; print(*sys.modules)"],
+        capture_output=True,
+        text=True,
+    )
+    assert "thymedeck.net.service" in told.stdout, told.stderr
+    assert "thymedeck.configuration" not in told.stdout
--- a/thymedeck/configuration/keeper.py
+++ b/thymedeck/configuration/keeper.py
@@ -1,12 +1,12 @@
 """The keeper on a control machine: a register of the last version, replicated among all keepers.
 
-Each change is a round of Paxos with a ballot of its own (Lamport, *Paxos made simple*, 2001) on one register whose
-next value is made from its last (Rystsov, *CASPaxos: replicated state machines without logs*, 2018). A version is
-committed once a majority has stored it. Only the last is in force anywhere, so no log of older ones is kept.
+Each change is a round of Paxos with a ballot of its own (Lamport, *Paxos made simple*, 2001) on one register
+whose next value is made from its last (Rystsov, *CASPaxos: replicated state machines without logs*, 2018). A
+version is committed once a majority has stored it. Only the last is in force anywhere, so no log is kept.
 
-A read that n - majority + 1 keepers answer meets every majority (Howard, Malkhi, Spiegelman, *Flexible Paxos*,
-2016): who had that answer within `fresh_for`, and knows no accepted version beyond its committed one, knew the last
-committed one when it asked. Who had not tells no version.
+A read that n - majority + 1 keepers answer meets every majority (Howard and others, *Flexible Paxos*,
+2016): who had that answer within `fresh_for`, and heard of no accepted version beyond its committed one, knew
+the last committed one when it asked. Who had not tells no version.
 """
 
 import random
@@ -326,7 +326,7 @@
         heard = [
             (name, one.in_force, one.refused)
             for name, one in self.own.items()
-            if now - one.at <= self.bounds.in_force_within
+            if now - one.at <= self.bounds.read_every  # the others count what they hear as heard now
         ]
         self.send_all(Read(nonce, self.committed.number, heard))
 
@@ -365,7 +365,7 @@
             return
         version = self.committed
         content = None
-        # Guards against the bytes of two: what was sent unasked crossed the ask, or it is lost and asked for again.
+        # Guards against the bytes of two: what was sent unasked crossed the ask, or it is asked for again.
         under_way = report.sent == version.number and now - report.sent_at < self.bounds.answer_within
         if version.number > max(ask.in_force, ask.refused) and not under_way:
             content = version.content
--- a/thymedeck/lab/followers.py
+++ b/thymedeck/lab/followers.py
@@ -1,7 +1,8 @@
-"""Keepers and followers of a configuration in virtual time: messages with their ways and faults, disks, crashes.
+"""Keepers and followers of a configuration in virtual time: ways, faults, disks, crashes.
 
-Times are whole tenths of a millisecond since the start. A node that is down loses what comes; one that is frozen
-gets all of it once it wakes. What a node has done of one event's actions when it crashes is done, the rest is not.
+Times are whole tenths of a millisecond since the start. A node that is down loses what comes; one that is
+frozen gets all of it once it wakes. What a node has done of one event's actions when it crashes is done, the
+rest is not.
 """
 
 import heapq
@@ -36,7 +37,7 @@
 
 FRAME = 60  # bytes of TCP and IP beside a message (estimate; the digest of a transport among them)
 NEAR = (3, 10)  # a way inside a region: from, to
-FAR = (200, 400)  # a way between regions
+FAR = (200, 400)  # a way between regions: 20 to 40 ms (estimate)
 
 
 class Node(Struct):
