Configuration: tests for what six mutants lived through

Of 26 mutants by hand 17 were caught, 3 hung the tests and 6 lived: the highest number taken for the highest ballot, accepting after promising another, a read of one, a committed version that goes back, no word of a commit, fresh though the version has not come.

--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,4 +1,4 @@
-"""Keepers and followers of a configuration, whatever is lost, repeated, late, cut, crashed or started anew."""
+"""Keepers and followers of a configuration, whatever is lost, repeated, late, cut, crashed, begun anew."""
 
 import subprocess
 import sys
@@ -359,6 +359,53 @@
     assert sent(one.handle(now, Came("b", Ask(5, 5, 0))), Tell) == [Tell(5, True, 6, b"new")]
 
 
+def test_of_what_others_accepted_that_of_the_highest_ballot_is_proposed_not_the_highest_number() -> None:
+    """6 was accepted in ballot 2, 5 in ballot 3: so no majority had that 6, and none ever will."""
+    one = keeper()
+    one.handle(0, Change(7, 5, b"mine"))
+    ballot = one.state.promised
+    one.handle(2, Came("k0", Promise(ballot, (2, 0), Version(6, b"lost"))))
+    actions = one.handle(3, Came("k2", Promise(ballot, (3, 2), Version(5, b"five"))))
+    assert {message.version for message in sent(actions, Accept)} == {Version(6, b"mine", b"five")}
+
+
+def test_a_ballot_ends_once_a_higher_one_has_the_promise() -> None:
+    one = keeper()
+    one.handle(0, Change(7, 0, b"mine"))
+    ballot = one.state.promised
+    one.handle(1, Came("k3", Prepare((ballot[0] + 1, 3))))
+    one.handle(2, Came("k0", Promise(ballot, (0, 0), Version())))
+    assert sent(one.handle(3, Came("k2", Promise(ballot, (0, 0), Version()))), Accept) == []
+    assert one.state.accepted == Version()
+
+
+def test_what_is_committed_never_goes_back() -> None:
+    one = keeper()
+    one.handle(1, Came("k0", Committed(Version(5, b"five"))))
+    assert one.handle(2, Came("k0", Committed(Version(4, b"four")))) == []
+    assert one.committed == Version(5, b"five")
+
+
+def test_of_five_keepers_one_answer_makes_no_read() -> None:
+    """Two others may be those without which the other three committed."""
+    one = Keeper("k1", (*KEEPERS, "k4"), Bounds(), check, 1, 0)
+    (read, *_) = sent(one.handle(0, Tick()), Read)
+    one.handle(1, Came("k0", ReadAnswer(read.nonce, 0, 0)))
+    one.handle(2, Came("k0", ReadAnswer(read.nonce, 0, 0)))
+    assert not one.is_fresh(2)
+    one.handle(3, Came("k2", ReadAnswer(read.nonce, 0, 0)))
+    assert one.is_fresh(3)
+
+
+def test_an_ordinary_change_waits_for_nobody_s_turn() -> None:
+    """Four ways between keepers, one to the followers, 40 ms each at the most."""
+    fleet = fleet_with_first()
+    asked = fleet.now
+    fleet.change(fleet.keepers[0], Change(7, 1, b"two"))
+    fleet.run(asked + SECOND // 4)
+    assert {node.in_force for node in followers(fleet)} == {2}
+
+
 def test_only_a_keeper_is_heard_as_one() -> None:
     one = keeper()
     for message in (
@@ -429,6 +476,14 @@
     assert one.fresh_at == now + 1
 
 
+def test_who_knows_of_a_version_that_has_not_come_has_not_heard_the_last() -> None:
+    one = follower()
+    now = one.due
+    (send,) = one.handle(now, Tick())
+    one.handle(now + 1, Came(send.target, Tell(send.message.nonce, True, 2)))
+    assert one.fresh_at == 0
+
+
 @pytest.mark.parametrize(
     "message",
     [
