--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -37,6 +37,7 @@
     decode,
     encode,
 )
+from thymedeck.lab.configured import PLAYS, Given, Play
 from thymedeck.lab.faults import Fault
 from thymedeck.lab.followers import Fleet, Node
 
@@ -496,6 +497,23 @@
     assert decode(encode(message)) == message
 
 
+@pytest.mark.parametrize("title", PLAYS)
+def test_each_play_of_the_lab_is_in_force_everywhere_within_the_bound(title: str) -> None:
+    play = Play(Given(balancers=24, size=200, cut_for=15 * SECOND), 1)
+    PLAYS[title](play)
+    last = float(play.figures()[2])
+    assert last * SECOND <= BOUND
+
+
+def test_a_follower_costs_no_more_bytes_with_the_size_of_the_fleet() -> None:
+    def bytes_each(balancers: int) -> float:
+        play = Play(Given(balancers, size=200, cut_for=0), 1)
+        play.change(0, b"second")
+        return float(play.figures()[4])
+
+    assert bytes_each(60) == pytest.approx(bytes_each(12), rel=0.05)
+
+
 def test_serving_knows_nothing_of_it() -> None:
     told = subprocess.run(
         [sys.executable, "-c", "import sys, thymedeck.__main__, thymedeck.net.service; print(*sys.modules)"],
--- a/thymedeck/configuration/follower.py
+++ b/thymedeck/configuration/follower.py
@@ -9,6 +9,7 @@
 
 from .messages import Action, Apply, Ask, Bounds, Came, Check, Event, Log, Save, Send, Tell, Version
 
+ASKS_KEPT = 16  # an answer to an older one counts for nothing
 JITTER = 0.1  # of the time between two asks, so that a fleet that starts at once doesn't ask at once
 
 
@@ -36,7 +37,9 @@
         self.refused = 0
         self.nonce = 0  # of the ask under way; 0: none
         self.asked_at = now
+        self.asked: dict[int, int] = {}  # when, by nonce, of those that may still be answered
         self.failed = 0  # asks, one after the other
+        self.round_at = now  # when the first of them was made, of the last round of all keepers
         self.ask_at = now + self.chance.randrange(bounds.ask_every)
         self.fresh_at = now  # what was in force then was the last committed, or about to be told
         self.is_unheard = False  # as last told
@@ -64,20 +67,26 @@
         return actions
 
     def log(self, actions: list[Action], event: str, now: int) -> None:
-        actions.append(Log(event, {"number": self.in_force.number, "for_ms": (now - self.fresh_at) // 10}))
+        actions.append(
+            Log(event, {"number": self.in_force.number, "unheard_ms": (now - self.fresh_at) // 10})
+        )
 
     def ask(self, now: int, actions: list[Action]) -> None:
         self.nonce = self.chance.getrandbits(48) | 1
-        self.asked_at = now
+        self.asked_at = self.asked[self.nonce] = now
+        if len(self.asked) > ASKS_KEPT:
+            del self.asked[next(iter(self.asked))]
         ask = Ask(self.nonce, self.in_force.number, self.refused)
         actions.append(Send(self.keepers[0], ask))
 
     def turn_to_next(self, now: int) -> None:
-        """At once, until all have been asked: then as often as ever."""
+        """At once, until all have been asked: no round of all is shorter than the time between two asks."""
         self.nonce = 0
         self.keepers.append(self.keepers.pop(0))
+        if not self.failed % len(self.keepers):
+            self.round_at = self.asked_at
         self.failed += 1
-        self.ask_at = now if self.failed % len(self.keepers) else self.next_ask(now)
+        self.ask_at = now if self.failed % len(self.keepers) else max(now, self.next_ask(self.round_at))
 
     def next_ask(self, since: int) -> int:
         return since + round(self.bounds.ask_every * self.chance.uniform(1 - JITTER, 1))
@@ -89,21 +98,27 @@
         is_news = self.refused != refused_before
         if is_news:
             self.ask_at = now  # keepers withdraw what the first few refuse
-        if tell.nonce == 0 or tell.nonce != self.nonce:
+        if tell.nonce not in self.asked:
             return
+        asked_at = self.asked.pop(tell.nonce)
+        is_last = tell.nonce == self.nonce
         if not tell.is_fresh:
-            self.turn_to_next(now)
+            if is_last:
+                self.turn_to_next(now)
             return
-        self.nonce = 0
-        self.failed = 0
-        if not is_news:
-            self.ask_at = self.next_ask(self.asked_at)
+        if is_last:
+            self.nonce = 0
+            self.failed = 0
+            if not is_news:
+                self.ask_at = self.next_ask(asked_at)
         if tell.number > max(self.in_force.number, self.refused):
-            return  # it was sent unasked, and is under way or lost
-        if self.is_unheard:
+            if is_last:  # it was sent unasked, and is under way or lost
+                self.ask_at = now + self.bounds.answer_within
+            return
+        self.fresh_at = max(self.fresh_at, asked_at)
+        if self.is_unheard and now < self.quiet_at:
             self.is_unheard = False
             self.log(actions, "configuration_heard", now)
-        self.fresh_at = self.asked_at
 
     def take_up(self, now: int, version: Version, actions: list[Action]) -> None:
         unfit = self.check(version.content)
--- a/thymedeck/configuration/keeper.py
+++ b/thymedeck/configuration/keeper.py
@@ -45,6 +45,8 @@
 )
 
 ROUND_WITHIN = SECOND * 3 // 10  # a ballot is given up after this, and another begun up to as much later
+ROUND_GROWS = 8  # times at the most: twice with each ballot that failed
+SAY_AGAIN = SECOND // 10  # within a ballot, to those that have not answered
 RECOVER_AFTER = SECOND * 3 // 10  # a version that is accepted and not known to be committed is proposed again
 READS_KEPT = 4  # answers to older ones count for nothing
 FORGET_AFTER = 2 * 3600 * SECOND  # a follower that is not heard of
@@ -65,6 +67,7 @@
     ballot: Ballot
     wanted: Wanted | None  # None: what is there is to be committed as it is
     until: int
+    again_at: int
     promises: dict[str, tuple[Ballot, Version]]
     version: Version | None = None  # once a majority has promised
     accepted_by: set[str] = set()
@@ -100,6 +103,7 @@
         self.proposal: Proposal | None = None
         self.wants: list[Wanted] = []
         self.begin_at = now  # no ballot before
+        self.failed = 0  # ballots, one after the other
         self.in_doubt = 0  # number of a version that may be committed; at most the committed one: none
         self.doubted_at = now
         self.reads: dict[int, tuple[int, set[str]]] = {}  # when it was asked, and who answered
@@ -130,7 +134,7 @@
     def due(self) -> int:
         times = [self.read_at]
         if self.proposal is not None:
-            times.append(self.proposal.until)
+            times.append(min(self.proposal.until, self.proposal.again_at))
         elif self.wants:
             times.append(self.begin_at)
         elif self.in_doubt > self.committed.number:
@@ -189,6 +193,8 @@
         """What is due of ballots."""
         if self.proposal is not None and now >= self.proposal.until:
             self.give_up_ballot(now)
+        if self.proposal is not None and now >= self.proposal.again_at:
+            self.say_again(now, self.proposal)
         for wanted in [one for one in self.wants if now >= one.until]:
             self.answer(wanted, Outcome.UNKNOWN if wanted.was_sent else Outcome.NOT_COMMITTED)
             if self.proposal is not None and self.proposal.wanted is wanted:
@@ -203,11 +209,22 @@
         ballot = (max(self.highest, self.state.promised)[0] + 1, self.index)
         self.save(promised=ballot)
         promises = {self.name: (self.state.accepted_in, self.state.accepted)}
-        self.proposal = Proposal(ballot, wanted, now + ROUND_WITHIN, promises)
+        until = now + ROUND_WITHIN * min(1 << self.failed, ROUND_GROWS)
+        self.proposal = Proposal(ballot, wanted, until, now + SAY_AGAIN, promises)
         self.send_all(Prepare(ballot))
 
+    def say_again(self, now: int, proposal: Proposal) -> None:
+        """What was lost; whoever had it answers the same again."""
+        proposal.again_at = now + SAY_AGAIN
+        version = proposal.version
+        message = Prepare(proposal.ballot) if version is None else Accept(proposal.ballot, version)
+        for one in self.others:
+            if one not in (proposal.promises if version is None else proposal.accepted_by):
+                self.send(one, message)
+
     def give_up_ballot(self, now: int) -> None:
         self.proposal = None
+        self.failed = min(self.failed + 1, ROUND_GROWS)
         self.begin_at = now + 1 + self.chance.randrange(ROUND_WITHIN)
 
     def on_promise(self, now: int, source: str, promise: Promise) -> None:
@@ -249,6 +266,7 @@
             return
         version = proposal.version
         self.proposal = None
+        self.failed = 0
         self.begin_at = now
         self.learn(now, version)
         self.in_doubt = min(self.in_doubt, version.number)  # no ballot after this brings one that was beyond
--- a/thymedeck/lab/__main__.py
+++ b/thymedeck/lab/__main__.py
@@ -4,7 +4,7 @@
 import sys
 
 from ..peers.stated import Unfit
-from . import talk
+from . import configured, talk
 from .measure import measure_processes
 from .play import Run
 from .scenario import read
@@ -26,6 +26,14 @@
     )
     peers.add_argument("--processes", action="store_true", help="real daemons on loopback, with and without")
     peers.add_argument("--acquainted", action="store_true", help="all have met each other at the start")
+    plays = commands.add_parser(
+        "configuration", help="one version for all, in virtual time, as docs/configuration.md shows it"
+    )
+    plays.add_argument("--balancers", type=int, default=420)
+    plays.add_argument("--size", type=int, default=20_000, help="bytes of a configuration")
+    plays.add_argument("--cut", type=float, default=60.0, help="seconds that a cut or a freeze lasts")
+    plays.add_argument("--seed", type=int, default=1)
+    plays.add_argument("--play", default="", help="only those whose title has this in it")
     given = parser.parse_args()
     if given.command == "peers" and given.processes:
         for size in given.balancers:
@@ -33,9 +41,18 @@
         return 0
     if given.command == "peers":
         return measure_peers(given.balancers, given.seed, given.quiet, given.acquainted)
+    if given.command == "configuration":
+        return play_configuration(given)
     return run_scenario(given)
 
 
+def play_configuration(given: argparse.Namespace) -> int:
+    print("| " + " | ".join(configured.HEADS) + " |\n" + "| --- " * len(configured.HEADS) + "|")
+    cut_for = round(given.cut * talk.SECOND)
+    configured.play(configured.Given(given.balancers, given.size, cut_for), given.seed, given.play)
+    return 0
+
+
 def measure_peers(sizes: list[int], seed: int, quiet: float, acquainted: bool) -> int:
     """A row as soon as a size is measured."""
     print("| " + " | ".join(talk.HEADS) + " |\n" + "| --- " * len(talk.HEADS) + "|")
--- a/thymedeck/lab/followers.py
+++ b/thymedeck/lab/followers.py
@@ -78,7 +78,7 @@
         self.sent: Counter[str] = Counter()
         self.bytes: Counter[str] = Counter()  # sent and got
         self.most: Counter[str] = Counter()  # bytes of the fullest second
-        self.seconds: Counter[tuple[str, int]] = Counter()
+        self.second: dict[str, tuple[int, int]] = {}  # the last one, and the bytes in it
         for name in self.keepers:
             self.nodes[name] = Node(name, self.maker_of_keeper(name, checked_by_keepers))
         for name in self.followers:
@@ -244,9 +244,10 @@
 
     def pay(self, name: str, size: int) -> None:
         self.bytes[name] += size
-        second = (name, self.now // 10_000)
-        self.seconds[second] += size
-        self.most[name] = max(self.most[name], self.seconds[second])
+        second = self.now // 10_000
+        last, there = self.second.get(name, (second, 0))
+        self.second[name] = (second, size if last != second else there + size)
+        self.most[name] = max(self.most[name], self.second[name][1])
 
     # What came of it
 
