--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,8 +1,10 @@
 """Keepers and followers of a configuration, whatever is lost, repeated, late, cut, crashed, begun anew."""
 
+import json
 import subprocess
 import sys
 from collections import Counter
+from pathlib import Path
 
 import pytest
 from hypothesis import HealthCheck, given, settings
@@ -37,9 +39,11 @@
     decode,
     encode,
 )
+from thymedeck.configuration.sheet import read
 from thymedeck.lab.configured import PLAYS, Given, Play
 from thymedeck.lab.faults import Fault
 from thymedeck.lab.followers import Fleet, Node
+from thymedeck.peers.stated import Unfit as UnfitSheet
 
 BOUND = Bounds().in_force_within
 HOUR = 3600 * SECOND
@@ -522,3 +526,43 @@
     )
     assert "thymedeck.net.service" in told.stdout, told.stderr
     assert "thymedeck.configuration" not in told.stdout
+
+
+# Its file of settings
+
+
+def sheet(folder: Path, **changed: object) -> str:
+    path = folder / "configuration.toml"
+    lines = {"keepers": [f"127.0.0.1:{7951 + at}" for at in range(4)], "saved": "last"} | changed
+    path.write_text("\n".join(f"{name} = {json.dumps(value)}" for name, value in lines.items()))
+    return str(path)
+
+
+def test_the_sheet_in_deploy_says_what_holds_without_it(tmp_path: Path) -> None:
+    shown = read("deploy/configuration.toml")
+    assert shown.bounds == Bounds() == read(sheet(tmp_path)).bounds
+    assert read(sheet(tmp_path)).saved == tmp_path / "last"
+    assert read(sheet(tmp_path, ask_every="1500 ms")).bounds.ask_every == 15_000
+
+
+@pytest.mark.parametrize(
+    ("changed", "line"),
+    [
+        ({"keepers": ["127.0.0.1:1", "127.0.0.1:2"]}, "keepers: 2, with fewer than 3 none may be lost"),
+        ({"keepers": ["127.0.0.1:1"] * 3}, "keepers: one is named twice"),
+        ({"keepers": ["there:1"] * 3}, "keepers: 'there' is no IPv4 address"),
+        ({"ask_every": "1"}, "ask_every: '1' is not a figure with a unit of ms, s, min"),
+        ({"ask_every": "2 s"}, "in_force_within: '3 s' is under ask_every and answer_within of every keeper"),
+        ({"fresh_for": "1.6 s"}, "in_force_within: '3 s' is under two times fresh_for"),
+        ({"read_every": "1 s"}, "fresh_for: '1.5 s' is under two times read_every"),
+        ({"give_up_after": "2 s"}, "give_up_after: '2 s' is under in_force_within"),
+        ({"refusers": 0}, "refusers: 0 is under 1"),
+        ({"saved": ""}, "saved: no file is named"),
+        ({"more": 1}, "Object contains unknown field `more`"),
+    ],
+)
+def test_an_unfit_sheet_is_refused_with_one_line(tmp_path: Path, changed: dict, line: str) -> None:
+    path = sheet(tmp_path, **changed)
+    with pytest.raises(UnfitSheet) as why:
+        read(path)
+    assert str(why.value) == f"{path}: {line}"
--- /dev/null
+++ b/thymedeck/configuration/sheet.py
@@ -0,0 +1,71 @@
+"""The file of settings for one version for all: strict TOML, times with units. Nothing reads it yet.
+
+Raises Unfit with one line that names the file, the entry and the reason.
+"""
+
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from ..net.told import server_address
+from ..peers.stated import TIMES, Unfit, figure, sheet_of
+from .messages import Bounds
+
+LEAST_KEEPERS = 3
+
+
+class Sheet(msgspec.Struct, forbid_unknown_fields=True):
+    """The file as it is written (deploy/configuration.toml)."""
+
+    keepers: list[str]  # the addresses of all, in an order that all have alike
+    saved: str  # where the last good version is kept; relative to this file
+    in_force_within: str = "3 s"
+    ask_every: str = "1 s"
+    answer_within: str = "300 ms"
+    read_every: str = "500 ms"
+    fresh_for: str = "1.5 s"
+    give_up_after: str = "10 s"
+    refusers: int = 3
+
+
+class Stated(msgspec.Struct, frozen=True):
+    """The same in our words."""
+
+    keepers: tuple[str, ...]
+    saved: Path
+    bounds: Bounds
+
+
+def read(path: str) -> Stated:
+    """Raises Unfit."""
+    sheet: Sheet = sheet_of(path, Sheet)
+
+    def entry(name: str, make: Any, *given: Any) -> Any:  # noqa: ANN401
+        try:
+            return make(getattr(sheet, name), *given)
+        except ValueError as why:
+            raise Unfit(f"{path}: {name}: {why}") from None
+
+    times = {name: entry(name, figure, TIMES) for name in Bounds.__struct_fields__ if name != "refusers"}
+    bounds = Bounds(**times, refusers=sheet.refusers)
+    keepers = entry("keepers", lambda all_: tuple("{}:{}".format(*server_address(one)) for one in all_))
+    if len(keepers) < LEAST_KEEPERS:
+        raise Unfit(f"{path}: keepers: {len(keepers)}, with fewer than {LEAST_KEEPERS} none may be lost")
+    if len(set(keepers)) < len(keepers):
+        raise Unfit(f"{path}: keepers: one is named twice")
+    if not sheet.saved:
+        raise Unfit(f"{path}: saved: no file is named")
+    if sheet.refusers < 1:
+        raise Unfit(f"{path}: refusers: {sheet.refusers} is under 1")
+    # Each asked in turn by a follower whose ask has just been answered: the last answer has to come in time.
+    turn = bounds.ask_every + len(keepers) * bounds.answer_within
+    for name, least, why in (
+        ("in_force_within", turn, "is under ask_every and answer_within of every keeper"),
+        ("in_force_within", 2 * bounds.fresh_for, "is under two times fresh_for"),
+        ("fresh_for", 2 * bounds.read_every, "is under two times read_every"),
+        ("give_up_after", bounds.in_force_within, "is under in_force_within"),
+    ):
+        if getattr(bounds, name) < least:
+            raise Unfit(f"{path}: {name}: {getattr(sheet, name)!r} {why}")
+    return Stated(keepers, Path(path).parent / sheet.saved, bounds)
