--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -402,6 +402,65 @@
     assert one.is_fresh(3)
 
 
+def test_what_is_lost_within_a_ballot_is_said_again_to_those_that_have_not_answered() -> None:
+    one = keeper()
+    one.handle(0, Change(7, 0, b"mine"))
+    ballot = one.state.promised
+    one.handle(1, Came("k0", Promise(ballot, (0, 0), Version())))
+    again = one.handle(SECOND // 10, Tick())
+    assert [action.target for action in again if type(action.message) is Prepare] == ["k2", "k3"]
+    one.handle(SECOND // 10 + 1, Came("k2", Promise(ballot, (0, 0), Version())))
+    one.handle(SECOND // 10 + 2, Came("k0", Accepted(ballot)))
+    again = one.handle(SECOND // 5, Tick())
+    assert [action.target for action in again if type(action.message) is Accept] == ["k2", "k3"]
+
+
+def test_who_is_in_doubt_leaves_it_to_another_s_ballot_as_long_as_one_is_heard_of() -> None:
+    """Four that all began ballots ended one another's for 15 s."""
+    one = keeper()
+    one.handle(0, Came("k0", Accept((1, 0), Version(1, b"x"))))
+    for at in range(1, 6):
+        now = at * SECOND * 9 // 10
+        one.handle(now, Came("k3", Prepare((1 + at, 3))))
+        assert one.state.promised == (1 + at, 3)
+    assert sent(one.handle(now + SECOND * 9 // 10, Tick()), Prepare) == []
+    assert sent(one.handle(now + SECOND * 3 // 2, Tick()), Prepare)
+
+
+def test_a_doubt_ends_with_a_later_ballot_that_brings_an_older_version() -> None:
+    one = keeper()
+    (read, *_) = sent(one.handle(0, Tick()), Read)
+    one.handle(1, Came("k3", ReadAnswer(read.nonce, 0, 6)))
+    now = 2 * SECOND
+    one.handle(now, Tick())
+    ballot = one.state.promised
+    for name in ("k0", "k2"):
+        one.handle(now + 1, Came(name, Promise(ballot, (3, 2), Version(5, b"five"))))
+    for name in ("k0", "k2"):
+        one.handle(now + 2, Came(name, Accepted(ballot)))
+    assert (one.committed.number, one.due) == (5, one.read_at)
+
+
+def test_what_was_sent_unasked_is_not_sent_again_while_it_may_be_under_way() -> None:
+    one = keeper()
+    (read, *_) = sent(one.handle(0, Tick()), Read)
+    one.handle(1, Came("k0", ReadAnswer(read.nonce, 0, 0)))
+    one.handle(2, Came("b", Ask(1, 0, 0)))
+    assert sent(one.handle(3, Came("k0", Committed(Version(1, b"x")))), Tell) == [Tell(0, True, 1, b"x")]
+    assert sent(one.handle(4, Came("b", Ask(2, 0, 0))), Tell) == [Tell(2, True, 1)]
+    now = 3 + Bounds().answer_within
+    assert sent(one.handle(now, Came("b", Ask(3, 0, 0))), Tell) == [Tell(3, True, 1, b"x")]
+
+
+def test_a_withdrawal_goes_back_past_what_was_refused_before() -> None:
+    one = keeper()
+    last = Version(2, b"bad", b"first")
+    for at in range(3):
+        assert one.good_of(last) == b"bad"
+        one.handle(1 + at, Came(f"b{at}", Ask(1, 1, 2)))
+    assert one.good_of(last) == b"first"
+
+
 def test_an_ordinary_change_waits_for_nobody_s_turn() -> None:
     """Four ways between keepers, one to the followers, 40 ms each at the most."""
     fleet = fleet_with_first()
@@ -486,7 +545,32 @@
     now = one.due
     (send,) = one.handle(now, Tick())
     one.handle(now + 1, Came(send.target, Tell(send.message.nonce, True, 2)))
-    assert one.fresh_at == 0
+    assert (one.fresh_at, one.ask_at) == (0, now + 1 + Bounds().answer_within)
+
+
+def test_an_answer_that_is_later_than_the_bound_is_not_heard() -> None:
+    one = follower()
+    now = one.due
+    (send,) = one.handle(now, Tick())
+    late = now + BOUND + 1
+    assert [action.event for action in one.handle(late, Tick()) if type(action) is Log] == [
+        "configuration_unheard"
+    ]
+    actions = one.handle(late + 1, Came(send.target, Tell(send.message.nonce, True)))
+    assert [action for action in actions if type(action) is Log] == []
+
+
+def test_stale_keepers_are_asked_no_more_often_than_once_each_in_the_time_between_two_asks() -> None:
+    one = follower()
+    asked = 0
+    while one.due < 10 * SECOND:
+        now = one.due
+        actions = one.handle(now, Tick())
+        while sends := [action for action in actions if type(action) is Send]:
+            asked += len(sends)
+            now += 10
+            actions = one.handle(now, Came(sends[0].target, Tell(sends[0].message.nonce, False)))
+    assert asked <= 4 * (10 / 0.9 + 1)
 
 
 @pytest.mark.parametrize(
@@ -539,7 +623,7 @@
 
 
 def test_the_sheet_in_deploy_says_what_holds_without_it(tmp_path: Path) -> None:
-    shown = read("deploy/configuration.toml")
+    shown = read(str(Path(__file__).parents[1] / "deploy" / "configuration.toml"))
     assert shown.bounds == Bounds() == read(sheet(tmp_path)).bounds
     assert read(sheet(tmp_path)).saved == tmp_path / "last"
     assert read(sheet(tmp_path, ask_every="1500 ms")).bounds.ask_every == 15_000
