Clients who rest give way to as many as need it, and dials stay within the limit

Seen on a daemon with 48 descriptors: with standing sessions and a resting crowd every second newcomer, PING and at= got BUSY; with a limit of 24 and eleven who speak at once dials went 8 past limits.sockets, and the call for the list had none. Ruled out: the reserve's size. At fault: Door.take_in pushed out one and no more, begin_dial looked at nothing.

Now room is made as often as it takes, also before a dial; dials leave two.

--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -10,6 +10,7 @@
     server N takes COUNT     of the line of that dial only so many bytes are taken until the next turn
     server N arrives, list arrives, list unseen (no call waits there)
     held COUNT               so many sessions are held by the decisions
+    free COUNT               the program may open so many connections or more
     nothing dialled [A]      no dial waits at any server, or at this one
     list comes MS            the clock moves on until a call for the list comes, by MS at the most
     turn [COUNT]             the loop turns so often and waits for nothing
@@ -323,6 +324,9 @@
         held = self.service.balancer.sessions
         assert len(held) == int(count), held.keys()
 
+    def on_free(self, count: str) -> None:
+        assert self.service.loop.free >= int(count), self.service.loop.free
+
     def on_nothing(self, _: str, at: str = "") -> None:
         doors = [door for name, door in self.doors.items() if at in ("", name)]
         assert not select.select(doors, [], [], 0)[0], "a dial waits"
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -56,7 +56,7 @@
     """Guards against resets of those that one turn does not reach, when a balancer is told to stop."""
     service = object.__new__(Service)
     service.loop = Loop(lambda fault: pytest.fail(str(fault)), 1024, System())
-    service.loose, service.clients, service.connected = {}, {}, {}
+    service.loose, service.clients, service.connected, service.making_room = {}, {}, {}, False
     service.last = service.loop.now() + 30_000
     service.log = lambda *_, **__: None
     service.door = Door(service, ("127.0.0.1", 0))
--- a/thymedeck/benchlink.py
+++ b/thymedeck/benchlink.py
@@ -164,7 +164,7 @@
             )
             for one in event.members
         ]  # fmt: skip
-        return own.ServerList(kind, entries)
+        return own.ServerList(kind, entries, in_turn=True)  # there every call goes out by `FollowList`
 
     def spell(self, action: own.Action) -> dict[str, Any]:
         head = {"i": self.instance}
--- a/thymedeck/net/clients.py
+++ b/thymedeck/net/clients.py
@@ -64,15 +64,8 @@
         return True
 
     def take_in(self, sock: socket.socket) -> None:
-        """Guards against a crowd that says nothing, or stays on, and takes the sockets that dials need."""
-        loose, loop = self.service.loose, self.service.loop
-        while loop.free <= loop.reserve and loose:
-            oldest = next(iter(loose))
-            oldest.read()  # Guards against a session refused by a reset: its line may wait.
-            if oldest in loose:
-                oldest.answer(b"BUSY\r\n", Ending.PUSHED_OUT)
-                oldest.close()
-                break
+        loop = self.service.loop
+        self.service.make_room(loop.reserve)
         client = Client(self.service, sock)
         if loop.free < loop.reserve:
             client.answer(b"BUSY\r\n", Ending.PUSHED_OUT)
--- a/thymedeck/net/loop.py
+++ b/thymedeck/net/loop.py
@@ -11,7 +11,8 @@
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
 OWN_DESCRIPTORS = 10  # that the program holds beside connections
 LATE = 1_000  # this process stood still if a timer is so late
-RESERVE = 8  # the part of what it may hold that is kept for dials and for the list
+RESERVE = 8  # the part of what it may hold that clients leave to dials and to the list
+KEPT = 2  # and what dials leave: for the call for the list, and for one at the door
 
 
 class Ready(Protocol):
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -17,7 +17,7 @@
 from .endings import OUTCOMES, Ending
 from .lines import readable
 from .log import EventLog
-from .loop import READ, Loop
+from .loop import KEPT, READ, Loop
 from .serverlist import Follower
 from .servers import Dialled, Known
 from .system import System
@@ -111,6 +111,7 @@
         self.idents: set[bytes] = set()  # of these
         self.connected: dict[Client, None] = {}  # all whose connection is open, in their order
         self.loose: dict[Client, None] = {}  # those that no session needs, oldest first
+        self.making_room = False
         self.next_sess = 0
         self.list_due = self.loop.after(0, lambda: None)  # when the decisions ask for the list again
         self.dials = 0  # made since the start, but those of sessions that stood before
@@ -272,12 +273,30 @@
         entry = self.servers[dial.server].entry
         return dial.client.fixed >= 0 or entry is None or entry.state is own.State.READY
 
+    def make_room(self, least: int) -> None:
+        """Guards against a crowd that says nothing, or stays on, and takes the sockets that others need."""
+        if self.making_room:
+            return  # one that rested was read, and needs a dial: the crowd is worked through as it is
+        self.making_room = True
+        while self.loop.free <= least and self.loose:
+            oldest = next(iter(self.loose))
+            oldest.read()  # Guards against a session refused by a reset: its line may wait.
+            if oldest in self.loose:
+                oldest.answer(b"BUSY\r\n", Ending.PUSHED_OUT)
+                oldest.close()
+        self.making_room = False
+
     def begin_dial(self, client: Client, server: int, connect_within: int, limit: int) -> bool:
         """Whether its client is still there, and there was a socket for it."""
         # Guards against a dial for a client whose end has come but waits unread, however long the turn.
         client.read()
         if client.done:
             return False
+        self.make_room(KEPT)
+        if self.loop.free <= KEPT:
+            # Guards against dials that go past the limit, and leave nothing to the call for the list.
+            self.log("no_sockets", why="sessions hold all")
+            return False
         try:
             client.dial = Dialled(self, client, server, connect_within, limit)
         except OSError as why:
