--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -11,6 +11,7 @@
     server N arrives, list arrives, list unseen (no call waits there)
     held COUNT               so many sessions are held by the decisions
     free COUNT               the program may open so many connections or more
+    undelayed                TCP_NODELAY is set on each connection of the program
     nothing dialled [A]      no dial waits at any server, or at this one
     list comes MS            the clock moves on until a call for the list comes, by MS at the most
     turn [COUNT]             the loop turns so often and waits for nothing
@@ -324,6 +325,11 @@
         held = self.service.balancer.sessions
         assert len(held) == int(count), held.keys()
 
+    def on_undelayed(self) -> None:
+        ends = [key.data for key in self.service.loop.selector.get_map().values()]
+        socks = [end.sock for end in ends if isinstance(end, Connection)]
+        assert len(socks) > 1 and all(s.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY) for s in socks)
+
     def on_free(self, count: str) -> None:
         assert self.service.loop.free >= int(count), self.service.loop.free
 
