--- a/thymedeck/policy.py
+++ b/thymedeck/policy.py
@@ -905,8 +905,7 @@
         server.slow_until = self.now + NOTE_LIFE if server.delay else -1
         if server.delay:
             self.look_round()
-            carries = 2 * self.own_sum(server) >= self.mean_sum(self.ready or [server])
-            if self.with_room and carries and not self.is_stuck(server):
+            if self.with_room and not self.is_stuck(server):
                 # With all of them slow, or where it hangs, it is not this sum that makes it slow.
                 server.crowded.append((self.now, HEADROOM * server.told))
                 server.most = min(load for _, load in server.crowded)
