--- a/thymedeck/configuration/sheet.py
+++ b/thymedeck/configuration/sheet.py
@@ -3,13 +3,13 @@
 Raises Unfit with one line that names the file, the entry and the reason.
 """
 
+from functools import partial
 from pathlib import Path
-from typing import Any
 
 import msgspec
 
 from ..net.told import server_address
-from ..peers.stated import TIMES, Unfit, figure, sheet_of
+from ..peers.stated import TIMES, Unfit, check_least, entry_of, figure, sheet_of
 from .messages import Bounds
 
 LEAST_KEEPERS = 3
@@ -41,12 +41,7 @@
     """Raises Unfit."""
     sheet: Sheet = sheet_of(path, Sheet)
 
-    def entry(name: str, make: Any, *given: Any) -> Any:  # noqa: ANN401
-        try:
-            return make(getattr(sheet, name), *given)
-        except ValueError as why:
-            raise Unfit(f"{path}: {name}: {why}") from None
-
+    entry = partial(entry_of, path, sheet)
     times = {name: entry(name, figure, TIMES) for name in Bounds.__struct_fields__ if name != "refusers"}
     bounds = Bounds(**times, refusers=sheet.refusers)
     keepers = entry("keepers", lambda all_: tuple("{}:{}".format(*server_address(one)) for one in all_))
@@ -66,6 +61,5 @@
         ("fresh_for", 2 * bounds.read_every, "is under two times read_every"),
         ("give_up_after", bounds.in_force_within, "is under in_force_within"),
     ):
-        if getattr(bounds, name) < least:
-            raise Unfit(f"{path}: {name}: {getattr(sheet, name)!r} {why}")
+        check_least(path, sheet, bounds, name, least, why)
     return Stated(keepers, Path(path).parent / sheet.saved, bounds)
--- a/thymedeck/lab/__main__.py
+++ b/thymedeck/lab/__main__.py
@@ -7,6 +7,7 @@
 from . import cold, configured, talk
 from .measure import measure_processes
 from .play import Run
+from .scale import command as scale
 from .scenario import read
 
 
@@ -26,8 +27,6 @@
     )
     peers.add_argument("--processes", action="store_true", help="real daemons on loopback, with and without")
     peers.add_argument("--acquainted", action="store_true", help="all have met each other at the start")
-    from .scale import command as scale
-
     scale.add_to(commands)
     warm_ups = commands.add_parser("cold", help="measure what fleets send to cold servers, in virtual time")
     cold.add_arguments(warm_ups)
--- a/thymedeck/peers/stated.py
+++ b/thymedeck/peers/stated.py
@@ -7,6 +7,7 @@
 import re
 import stat
 import tomllib
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -84,16 +85,25 @@
         raise Unfit(f"{path}: {why}") from None
 
 
+def entry_of(path: str, sheet: Any, name: str, make: Any, *given: Any) -> Any:  # noqa: ANN401
+    """What `make` makes of an entry of the file. Raises Unfit where that raises ValueError."""
+    try:
+        return make(getattr(sheet, name), *given)
+    except ValueError as why:
+        raise Unfit(f"{path}: {name}: {why}") from None
+
+
+def check_least(path: str, sheet: Any, read_as: Any, name: str, least: int, why: str) -> None:  # noqa: ANN401
+    """Raises Unfit where the entry, in our words, is under what others ask of it."""
+    if getattr(read_as, name) < least:
+        raise Unfit(f"{path}: {name}: {getattr(sheet, name)!r} {why}")
+
+
 def read(path: str) -> Stated:
     """Raises Unfit."""
     sheet: Sheet = sheet_of(path, Sheet)
 
-    def entry(name: str, make: Any, *given: Any) -> Any:  # noqa: ANN401
-        try:
-            return make(getattr(sheet, name), *given)
-        except ValueError as why:
-            raise Unfit(f"{path}: {name}: {why}") from None
-
+    entry = partial(entry_of, path, sheet)
     keys_from = Path(path).parent / sheet.key_file
     times = {
         name: entry(name, figure, TIMES)
@@ -120,8 +130,7 @@
         ("forget_after", stated.notice_within, "is under notice_within"),
         ("send_most", 1200, "is under one datagram (1200 B) a second"),
     ):
-        if getattr(stated, name) < least:
-            raise Unfit(f"{path}: {name}: {getattr(sheet, name)!r} {why}")
+        check_least(path, sheet, stated, name, least, why)
     if sheet.servers_most > 140:
         raise Unfit(
             f"{path}: servers_most: {sheet.servers_most} servers do not fit one datagram (140 at most)"
--- a/tools/turns.py
+++ b/tools/turns.py
@@ -26,25 +26,12 @@
 
 sys.path.insert(0, os.getcwd())
 
+from tests.helpers import SETTINGS  # noqa: E402
 from thymedeck.net.servers import Dialled  # noqa: E402
 from thymedeck.net.service import Service, Wakeup  # noqa: E402
 from thymedeck.net.system import System  # noqa: E402
 from thymedeck.net.told import read_start  # noqa: E402
 
-SETTINGS = {
-    "listeners": [
-        {
-            "name": "chat", "handshake_target_us": 300000, "deadline_us": 2000000, "effect": "pure",
-            "utility": 1.0, "dedup_scope": "all", "memory_span_us": 5000000,
-        }
-    ],
-    "limits": {"max_dials": 4, "dial_timeout_us": 150000},
-    "contract": {
-        "ask_within_us": 400000, "start_capacity": 0.3, "warm_after_us": 8000000, "overload_factor": 2.5,
-        "overload_for_us": 2000000, "drain_grace_us": 2000000,
-    },
-    "discovery": "on_request", "tick_us": 2000, "extra": {"message_aim_us": [50000], "tells_load": True},
-}  # fmt: skip
 HEAD = (
     "| connections | lines/s sent | back | turns | median ms | 99 % | 99.9 % | longest | over 100 ms "
     "| most ready | leavers | dials for them | begun after | latest ms | lines after | latest ms |"
