--- a/thymedeck/lab/standins.py
+++ b/thymedeck/lab/standins.py
@@ -13,6 +13,7 @@
 
 from ..net.connection import Connection
 from ..net.loop import READ, Loop
+from ..net.ring import Ring
 from .records import Record
 
 SECOND = 10_000
@@ -97,7 +98,13 @@
     def reply(self, status: int, body: bytes) -> None:
         if self.open:
             reason = {200: b"OK", 503: b"Service Unavailable"}[status]
-            self.say(b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n\r\n%s" % (status, reason, len(body), body))
+            answer = b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n\r\n%s" % (status, reason, len(body), body)
+            if len(answer) > self.outbound.room:
+                # An answer that does not fit the ring would be dropped whole.
+                waiting = self.outbound.take()
+                self.outbound = Ring(len(waiting) + len(answer))
+                self.outbound.put(waiting)
+            self.say(answer)
 
 
 class ListService:
