Placement no longer visits every server: idle ones are held in groups of equals

Callers saw no answer, or an attempt begun after their time, while a release restarted servers among thousands. Cause: Balancer.pick drew one of the cold servers that tie, found its budget spent, took it out of the list of ties and drew again, each time walking all that tie: with the square of the servers. Without cold ones each placement, list change and look still walked the whole list. Change: policy becomes a package; candidates.py holds servers of which nothing but their entry bears on a decision by kind, zone and stage; a placement visits the others and the groups. The numbers drawn for cold servers are kept in order, so that only those under the chance are asked. Chances are as before; a cold server is drawn among those let in, in place of one after the other. A sum of which nothing is left is zero whatever the rounding.

--- a/thymedeck/lab/cold.py
+++ b/thymedeck/lab/cold.py
@@ -163,7 +163,7 @@
         for balancer in self.balancers:
             balancer.now = now
             server = balancer.servers[self.case.warm]
-            carried = balancer.sum_of_kind(server.kind) / balancer.mean
+            carried = balancer.sum_of_kind(server.kind, balancer.warm_sums()) / balancer.mean
             parts.append(balancer.cold_part(server) * carried)
         return parts
 
--- a/thymedeck/policy.py
+++ b/thymedeck/policy/balancer.py
@@ -3,13 +3,15 @@
 Make one Balancer(seed, deployment) for each balancer process, then call handle(now, event) for whatever
 happens and carry out the actions it returns, in order. `now` is the clock in tenths of a millisecond. The
 types of events and actions are in thymedeck/interface.py; a session stays in `sessions` while it is held.
+A decision visits the servers of which something is known, and groups of the others (candidates.py).
 """
 
 import random
 from collections import deque
 from collections.abc import Callable
+from typing import NamedTuple
 
-from .interface import (
+from ..interface import (
     NEVER_RAN,
     Action,
     DelayTold,
@@ -40,19 +42,17 @@
     Timer,
     TimerDue,
 )
+from .candidates import Candidates, ColdGroup, Group, Stage
+from .server import FADE, RECENT, SECOND, SLOW_RUN, Server
 
-SECOND = 10_000
 LOG_PAUSE = 10 * SECOND  # a mode that has rested this long is logged again when it returns
 HISTORY = 100  # connections whose mean stands in for a load not yet told (design page)
-FADE = 30 * SECOND  # a newcomer's head start of load is gone after this (design page)
-RECENT = 8  # set-ups remembered of each server, and dials of the balancer
 TRIAL_WAIT = SECOND  # a sick server gets its first single trial after about this
 NOTE_LIFE = 25_000  # notes on slow messages come every second; two missed ones make a third unlikely
 REPORT_LIFE = 5 * SECOND  # no report older than this is trusted
 DRIFT = 0.15 / SECOND  # how fast a load may come nearer to the cap than reported
 ASKS = 8  # servers found at their cap for one session before it is refused
 HEADROOM = 0.9  # of a sum at which messages were slow, what the server is taken to carry
-CROWDED = 3  # own sums remembered at which a server was slow
 FLEET_RECENT = 16  # set-ups remembered over the whole fleet
 TRY_WAIT = SECOND / 6  # for each balancer, before one tries again what has just turned it down
 TRY_WAIT_LEAST, TRY_WAIT_MOST = SECOND / 2, 5 * SECOND
@@ -70,67 +70,10 @@
 LEAST_PULL = 1e-6  # so that ties without newcomers have a chance
 MOST_SPREAD = 0.4  # of that time, over all of them: a call that fails then still leaves time for another
 LIST_WITHIN = 3.8 * SECOND  # from a call to the next: told 6 s after it could be had, 2 s to be answered
-SLOW_RUN = 3  # last set-ups at a server that tell of slow messages where nothing else does
 STRAY = 2.3  # of the root of such a sum, a Poisson's: more comes in less than one window of 50,000
 PLANNED_DIALS = 3  # dials for which the time to the dial timeout is divided
 
 
-class Server:
-    """A server as this balancer alone has seen it."""
-
-    __slots__ = (
-        "asked_at", "asking", "cell", "crowded", "delay", "dials_out", "ease", "full_until", "handicap",
-        "handicap_at", "index", "kind", "lacking", "luck", "luck_until", "most", "over", "pressure", "pull",
-        "recent", "relieved_at", "sent", "sick", "silent_until", "slow_until", "standing", "started", "state",
-        "told", "told_at_report", "told_until", "trial_at", "trials", "waits", "weight",
-        "zone",
-    )  # fmt: skip
-
-    def __init__(self, entry: Entry) -> None:
-        self.index = entry.server
-        self.list_as(entry)
-        self.pull = 1.0  # its chance among ties of its kind: less where newcomers lack sessions
-        self.ease = 1.0  # what the mean server holds of the own sessions over what one of its kind holds
-        self.told = 0.0  # summed load of own standing connections whose load is known
-        self.lacking = 0  # own standing connections whose load is not known yet
-        self.handicap = 0.0
-        self.handicap_at = 0
-        self.dials_out = 0  # outlives a restart: what is out still ends
-        self.standing: dict[int, Session] = {}
-        self.sent: deque[tuple[int, float]] = deque()  # what went to it lately while cold
-        self.asked_at = 0
-        self.asking: list[int] = []  # sessions that wait for its report
-        self.forget()
-
-    def list_as(self, entry: Entry) -> None:
-        self.zone = entry.zone
-        self.weight = entry.weight
-        self.cell = entry.cell
-        self.kind = entry.kind
-        self.state = entry.state
-        self.started = entry.started
-
-    def forget(self) -> None:
-        self.luck = 1.0  # drawn for a window: with more room than this, in mean loads, a dial is let in
-        self.luck_until = 0
-        self.recent: deque[bool] = deque(maxlen=RECENT)  # set-ups: accepted or not
-        self.sick = False
-        self.trial_at = 0
-        self.trials = 0
-        self.full_until = 0
-        self.crowded: deque[tuple[int, float]] = deque(maxlen=CROWDED)  # own sums at which messages were slow
-        self.most = 0.0  # the least of these
-        self.over = 0  # notes in a row of messages past the shortest aim
-        self.relieved_at = -FADE
-        self.delay = 0
-        self.slow_until = -1
-        self.waits: deque[int] = deque(maxlen=SLOW_RUN)  # of its last set-ups
-        self.pressure = 0.0
-        self.told_at_report = 0.0
-        self.told_until = -1  # how long its last report tells on which side of the cap it is
-        self.silent_until = 0
-
-
 class Session:
     __slots__ = (
         "asked", "asked_last", "deadline", "dialled_at", "dials", "erred", "finished", "listener", "load",
@@ -155,6 +98,57 @@
         self.finished = False
 
 
+class Ties(NamedTuple):
+    """Servers that tie, those with something known one by one."""
+
+    servers: list[Server]
+    groups: list[Group]
+
+    def __bool__(self) -> bool:
+        return bool(self.servers or self.groups)
+
+
+class Holding:
+    """Servers of a kind, and the own sessions that stand on them."""
+
+    __slots__ = ("servers", "sessions")
+
+    def __init__(self) -> None:
+        self.servers = 0
+        self.sessions = 0
+
+    @property
+    def mean(self) -> float:
+        return self.sessions / self.servers
+
+
+class WarmSums:
+    """The own summed loads of warm servers, in all and by kind of machine."""
+
+    def __init__(self) -> None:
+        self.servers = 0
+        self.total = 0.0
+        self.by_kind: dict[int, tuple[float, int]] = {}  # summed load, servers
+
+    def add(self, kind: int, load: float, servers: int) -> None:
+        self.servers += servers
+        self.total += load
+        before, count = self.by_kind.get(kind, (0.0, 0))
+        self.by_kind[kind] = (before + load, count + servers)
+
+    def mean(self) -> float:
+        return self.total / self.servers if self.servers else 0.0
+
+    def mean_of(self, kind: int) -> float:
+        """Of all kinds where there is no warm server of this one."""
+        load, servers = self.by_kind.get(kind, (0.0, 0))
+        return load / servers if servers else self.mean()
+
+
+def kind_of(part: Server | Group) -> int:
+    return part.key.kind if isinstance(part, Group) else part.kind
+
+
 def chance_for(part: float, replicas: int) -> float:
     """With which a part of a session, 0 to 1, is granted to a cold server in a window.
 
@@ -183,7 +177,8 @@
         self.now = 0
         self.out: list[Action] = []
         self.servers: dict[int, Server] = {}
-        self.ready: list[Server] = []
+        self.candidates = Candidates(deployment.warm_after, max(deployment.fall_window, BLIND_FOR))
+        self.listed = 0  # servers on the list, in whatever state
         self.most_listed = 0  # servers on the list at once
         self.sessions: dict[int, Session] = {}
         self.figures: deque[float] = deque(maxlen=HISTORY)  # loads of recent connections, on the one scale
@@ -204,6 +199,8 @@
         self.with_room = 0  # servers not known to be full
         self.looked_at = -LOOK_EVERY - 1
         self.kind_parts: dict[int, float] = {}  # what the servers of a kind of machine carry, of own sessions
+        self.ease: dict[int, float] = {}  # by kind, what the mean server holds over what one of it holds
+        self.pull: dict[int, float] = {}  # by kind, the chance of settled servers among ties, over newcomers'
         self.kinds_at = -LOOK_EVERY - 1
         self.nearest: dict[bool, int] = {}  # quickest set-up, in the own zone or not
         self.work: dict[int, deque[tuple[bool, int]]] = {}  # by kind, the last set-ups: own zone or not, took
@@ -239,45 +236,60 @@
         elif self.list_failures:
             self.log(f"list back after {self.list_failures} failures")
             self.list_failures = 0
-        changed = any([self.take_entry(entry) for entry in event.entries])
+        known = list(self.candidates.ready)  # a newcomer starts by one of those before this list
+        changed = any([self.take_entry(entry, known) for entry in event.entries])
         if event.kind is not ListKind.CHANGES:
             named = {entry.server for entry in event.entries}
             for server in self.servers.values():
                 if server.index not in named:
-                    server.state = State.GONE
+                    self.list_gone(server)
+        self.candidates.settle(self.now, list(self.candidates.active.values()))
         if changed or event.kind is not ListKind.CHANGES:
-            self.ready = [s for s in self.servers.values() if s.state is State.READY]
             self.kinds_at = -LOOK_EVERY - 1  # guards against a draw among kinds not looked at yet
-            listed = sum(s.state is not State.GONE for s in self.servers.values())
-            self.most_listed = max(self.most_listed, listed)
+            self.most_listed = max(self.most_listed, self.listed)
 
-    def take_entry(self, entry: Entry) -> bool:
+    def take_entry(self, entry: Entry, known: list[Server]) -> bool:
         """Whether more than the weight is new."""
         server = self.servers.get(entry.server)
         if server is None:
             server = self.servers[entry.server] = Server(entry)
-            self.start(server)
+            self.listed += entry.state is not State.GONE
+            self.start(server, known)
+            self.offer(server)
             return True
         if entry.started == server.started and entry.state is server.state:
-            server.weight = entry.weight
+            self.candidates.reweigh(server, entry.weight)
             return False
+        self.candidates.remove(server)
+        self.listed += (entry.state is not State.GONE) - (server.state is not State.GONE)
         again = entry.started > server.started
         server.list_as(entry)
         if again:
             # Guards against a restarted server that draws a rush because its sum was emptied.
             server.forget()
-            self.start(server)
+            self.start(server, known)
+        self.offer(server)
         return True
 
-    def start(self, server: Server) -> None:
+    def list_gone(self, server: Server) -> None:
+        if server.state is not State.GONE:
+            self.candidates.remove(server)
+            self.listed -= 1
+            server.state = State.GONE
+
+    def offer(self, server: Server) -> None:
+        if server.state is State.READY:
+            self.candidates.add(server, self.now)
+
+    def start(self, server: Server, known: list[Server]) -> None:
         """Burdens a newcomer with the sum of one of the others by chance, unless the cold budget guards it.
 
         Their mean in the mean; but where most sums are zero a newcomer that started at the mean itself
         would come after nearly all until it has faded. Both guards at once leave a cold server empty while
         all balancers crowd the warm ones.
         """
-        if self.ready and not self.is_cold(server):
-            self.burden(server, self.own_sum(self.choice(self.ready)))
+        if known and not self.is_cold(server):
+            self.burden(server, self.own_sum(self.choice(known)))
 
     # The sums
 
@@ -291,9 +303,6 @@
     def own_sum(self, server: Server) -> float:
         return server.told + server.lacking * self.mean
 
-    def mean_sum(self, servers: list[Server]) -> float:
-        return sum(self.own_sum(s) for s in servers) / len(servers)
-
     def faded(self, server: Server) -> float:
         """What is left of the load that the server was burdened with."""
         left = FADE - (self.now - server.handicap_at)
@@ -301,11 +310,14 @@
 
     def burden(self, server: Server, load: float) -> None:
         """Adds load that fades: a newcomer's start, or what a reset or failure has taken off the sum."""
+        self.candidates.activate(server)
         server.handicap = load + self.faded(server)
         server.handicap_at = self.now
 
     def join(self, sess: Session, server: Server) -> None:
+        self.candidates.activate(server)
         sess.server = server
+        server.joined += 1
         server.lacking += sess.load is None
         server.told += sess.load or 0.0
 
@@ -313,10 +325,13 @@
         server = sess.server
         if server is None:
             return
+        server.joined -= 1
         if sess.load is None:
             server.lacking -= 1
-        else:
+        elif server.joined > server.lacking:
             server.told = max(server.told - sess.load, 0.0)
+        else:
+            server.told = 0.0  # nothing is left of it, whatever the rounding
         sess.server = None
 
     def on_load(self, event: LoadTold) -> None:
@@ -391,7 +406,7 @@
                 else:
                     self.dial(index, sess, server)
                 return
-            if self.ready:
+            if self.candidates.ready:
                 if self.now - self.crowd_at > LOG_PAUSE:
                     self.log(f"no room: {self.full_share:.2f} of the servers heard of at their cap; refusing")
                 self.crowd_at = self.now
@@ -407,6 +422,7 @@
         Only what a decision needs is probed: the probes of all balancers grow with the sessions, not with
         balancers times servers.
         """
+        self.candidates.activate(server)
         if not server.asking:
             server.asked_at = self.now
             self.out.append(Probe(server.index))
@@ -520,6 +536,7 @@
             if outcome is Outcome.ENDED:
                 self.set_up_went(server, True)  # answered in one piece, without being established first
             elif outcome is Outcome.FULL:
+                self.candidates.activate(server)
                 server.full_until = self.now + int(self.uniform(self.try_wait / 2, self.try_wait))
             elif outcome is Outcome.ERROR:
                 sess.erred.append(server)
@@ -546,54 +563,134 @@
         # Guards against an overload in which a balancer with few sessions keeps filling servers of which
         # it hears nothing, as their sums are zero: by chance they are taken to be like those heard of.
         self.wary = not self.site.may_probe and self.uniform(0, 1) < self.full_share
-        passed: set[int] = set()  # without room, cold or under the bound on blind growth
-        carried: dict[int, float] = {}  # by kind of machine
-        gated = self.is_gated()
+        self.prepare(sess)
         if self.now - self.kinds_at > LOOK_EVERY:
             self.look_at_kinds()
-        while ties := self.least(sess, ahead, passed):
-            best = ties
-            while best:
-                asked = sess.asked_last in best  # its report was waited for
-                # Cold ones come first among ties: guards against windows that pass unused where many tie.
-                first = best if asked else [s for s in best if self.is_cold(s)] or best
-                server = sess.asked_last if asked else self.draw(first)
-                cold = self.is_cold(server)
-                if not (cold or gated):
-                    return server
-                if server.kind not in carried:
-                    carried[server.kind] = self.sum_of_kind(server.kind)
-                share = self.cold_part(server) if cold else BLIND
-                window = self.site.fall_window if cold else BLIND_FOR
-                room = self.room_left(server, share * carried[server.kind], window)
-                if room >= ahead or (room > 0 and self.may_grant(server, room, ahead, window, ties)):
+        passed: set[int] = set()  # without room, cold or under the bound on blind growth
+        spent = False  # no idle cold server has room
+        sums: WarmSums | None = None
+        while ties := self.least(sess, ahead, passed, spent):
+            asked = sess.asked_last  # its report was waited for
+            if asked is not None and asked in ties.servers:
+                sums = sums or self.warm_sums()
+                if self.lets_in(asked, ahead, ties, sums):
+                    return asked
+                passed.add(asked.index)
+                ties.servers.remove(asked)
+            # Cold ones come first among ties: guards against windows that pass unused where many tie.
+            cold, warm = self.split(ties)
+            if cold:
+                sums = sums or self.warm_sums()
+                server = self.pick_cold(cold, ahead, sums)
+                if server is not None:
                     return server
-                passed.add(server.index)
-                best = [s for s in best if s is not server]
+                passed.update(one.index for one in cold.servers)
+                spent = spent or bool(cold.groups)
+            server = self.pick_warm(warm, ahead, passed, sums)
+            if server is not None:
+                return server
+        return None
+
+    def prepare(self, sess: Session) -> None:
+        """Brings what is idle up to date, and takes out of it what this session can't be sent to alike."""
+        candidates = self.candidates
+        candidates.advance(self.now)
+        candidates.settle(self.now, list(candidates.active.values()))
+        for index in sess.tried:
+            candidates.activate(self.servers[index])
+        if self.keeps_to_cell(sess):
+            for server in candidates.in_cell.get(sess.may_have_run.cell, {}).values():
+                candidates.activate(server)
+
+    def split(self, ties: Ties) -> tuple[Ties, Ties]:
+        """The cold ones and the others."""
+        cold, warm = Ties([], []), Ties([], [])
+        for server in ties.servers:
+            (cold if self.is_cold(server) else warm).servers.append(server)
+        for group in ties.groups:
+            (cold if isinstance(group, ColdGroup) else warm).groups.append(group)
+        return cold, warm
+
+    def pick_cold(self, ties: Ties, ahead: float, sums: WarmSums) -> Server | None:
+        """Drawn among those whose budget lets this session in; None if there is none."""
+        site = self.site
+        granted = [one for one in ties.servers if self.lets_in(one, ahead, ties, sums)]
+        for group in ties.groups:
+            group.renew(self.now, site.fall_window, self.uniform)
+            most = self.able_part(max(site.cold_share, 1.0)) * self.sum_of_kind(group.key.kind, sums)
+            chance = 1.0 if most >= ahead else chance_for(most / max(ahead, self.mean), site.replicas)
+            granted += [one for one in group.below(chance) if self.lets_in(one, ahead, ties, sums)]
+        if len(granted) < 2:
+            return granted[0] if granted else None
+        shares = self.shares_of_kinds(ties)
+        return self.choices(granted, [self.draw_weight(one) * shares[one.kind] for one in granted])[0]
+
+    def pick_warm(self, ties: Ties, ahead: float, passed: set[int], sums: WarmSums | None) -> Server | None:
+        """Drawn among these; None if the bound on blind growth lets none of them take the session."""
+        while ties:
+            drawn = self.draw(ties)
+            if isinstance(drawn, Group):
+                return drawn.draw(self.uniform)  # where that bound acts, idle ones are refused by `place`
+            if not self.is_gated():
+                return drawn
+            sums = sums or self.warm_sums()
+            if self.lets_in(drawn, ahead, ties, sums):
+                return drawn
+            passed.add(drawn.index)
+            ties.servers.remove(drawn)
         return None
 
-    def draw(self, ties: list[Server]) -> Server:
+    def lets_in(self, server: Server, ahead: float, ties: Ties, sums: WarmSums) -> bool:
+        """Whether the budget of a cold server, or the bound on blind growth, has room for this session."""
+        cold = self.is_cold(server)
+        if not (cold or self.is_gated()):
+            return True
+        share = self.cold_part(server) if cold else BLIND
+        window = self.site.fall_window if cold else BLIND_FOR
+        room = self.room_left(server, share * self.sum_of_kind(server.kind, sums), window)
+        return room >= ahead or (room > 0 and self.may_grant(server, room, ahead, window, ties))
+
+    def draw(self, ties: Ties) -> Server | Group:
         """By the list's weights, of each kind of machine by its part, and within it by what newcomers lack.
 
         Guards against many balancers whose sums are zero nearly everywhere, so that all their ties together
         level what is not alike: slow kinds came to hold as many as fast ones, newcomers stayed empty.
         """
-        if len(ties) == 1:
-            return ties[0]
+        parts: list[Server | Group] = [*ties.servers, *ties.groups]
+        if len(parts) == 1:
+            return parts[0]
         if len(self.kind_parts) > 1:
-            tied: dict[int, list[Server]] = {}
-            for server in ties:
-                tied.setdefault(server.kind, []).append(server)
-            ties = tied[self.choices(list(tied), [self.kind_parts[kind] for kind in tied])[0]]
-        return self.choices(ties, [s.weight * s.pull for s in ties])[0]
-
-    def chance_of(self, server: Server, ties: list[Server]) -> float:
+            tied: dict[int, list[Server | Group]] = {}
+            for part in parts:
+                tied.setdefault(kind_of(part), []).append(part)
+            parts = tied[self.choices(list(tied), [self.kind_parts[kind] for kind in tied])[0]]
+        return self.choices(parts, [self.draw_weight(part) for part in parts])[0]
+
+    def draw_weight(self, part: Server | Group) -> float:
+        """Less for settled servers while newcomers of their kind lack sessions."""
+        pull = self.pull.get(kind_of(part), 1.0)
+        if pull < 1.0:
+            stage = part.key.stage if isinstance(part, Group) else self.candidates.stage(part, self.now)
+            pull = pull if stage is Stage.SETTLED else 1.0
+        return part.weight * pull
+
+    def shares_of_kinds(self, ties: Ties) -> dict[int, float]:
+        """By kind, what makes a member's weight its chance to be drawn among all of these."""
+        weights: dict[int, float] = {}
+        for part in (*ties.servers, *ties.groups):
+            kind = kind_of(part)
+            weights[kind] = weights.get(kind, 0.0) + self.draw_weight(part)
+        if len(self.kind_parts) < 2:
+            return dict.fromkeys(weights, 1.0)
+        return {kind: self.kind_parts[kind] / weight for kind, weight in weights.items()}
+
+    def chance_of(self, server: Server, ties: Ties) -> float:
         """That these ties are drawn for it."""
         parts = self.kind_parts
-        part = parts[server.kind] / sum(parts[kind] for kind in {s.kind for s in ties})
-        return (
-            part * server.weight * server.pull / sum(s.weight * s.pull for s in ties if s.kind == server.kind)
-        )
+        tied = (*ties.servers, *ties.groups)
+        part = parts[server.kind] / sum(parts[kind] for kind in {kind_of(one) for one in tied})
+        alike = sum(self.draw_weight(one) for one in tied if kind_of(one) == server.kind)
+        return part * self.draw_weight(server) / alike
 
     def look_at_kinds(self) -> None:
         """Sessions and not their loads, which differ too much; one more is taken to be spread over all.
@@ -601,26 +698,29 @@
         What a kind carries is told by servers that have been there for long; newcomers hold less for a while.
         """
         self.kinds_at = self.now
-        recent = max(self.now - self.site.warm_after - FADE, 0)
-        settled: dict[int, list[int]] = {}  # by kind, what its servers hold
-        young: dict[int, list[int]] = {}
-        for server in self.ready:
-            among = young if server.started > recent else settled
-            among.setdefault(server.kind, []).append(len(server.standing))
+        settled: dict[int, Holding] = {}
+        young: dict[int, Holding] = {}
+        for group in self.candidates.idle():
+            among = settled if group.key.stage is Stage.SETTLED else young
+            among.setdefault(group.key.kind, Holding()).servers += len(group.members)
+        for server in self.candidates.active.values():
+            is_settled = self.candidates.stage(server, self.now) is Stage.SETTLED
+            holding = (settled if is_settled else young).setdefault(server.kind, Holding())
+            holding.servers += 1
+            holding.sessions += len(server.standing)
         told = settled or young
-        count = sum(map(len, told.values()))
-        usual = (sum(map(sum, told.values())) + 1) / max(count, 1)
+        count = sum(one.servers for one in told.values())
+        usual = (sum(one.sessions for one in told.values()) + 1) / max(count, 1)
         carries = dict.fromkeys([*settled, *young], usual)
-        carries |= {kind: sum(each) / len(each) + 1 / count for kind, each in told.items()}
-        lack = {kind: min(sum(each) / len(each) / carries[kind], 1.0) for kind, each in young.items()}
+        carries |= {kind: one.mean + 1 / count for kind, one in told.items()}
+        lack = {kind: min(one.mean / carries[kind], 1.0) for kind, one in young.items()}
         self.heed_work(carries, usual)
         self.kind_parts = {
-            k: c * (len(settled.get(k, ())) + len(young.get(k, ()))) for k, c in carries.items()
+            kind: carried * sum(among[kind].servers for among in (settled, young) if kind in among)
+            for kind, carried in carries.items()
         }
-        for server in self.ready:
-            server.ease = usual / carries[server.kind]
-            lacking = 1.0 if server.started > recent else lack.get(server.kind, 1.0)
-            server.pull = max(lacking, LEAST_PULL)
+        self.ease = {kind: usual / carried for kind, carried in carries.items()}
+        self.pull = {kind: max(part, LEAST_PULL) for kind, part in lack.items()}
 
     def heed_work(self, carries: dict[int, float], usual: float) -> None:
         """Corrects what kinds carry by what set-ups took beyond the quickest as far, which goes by speed.
@@ -636,15 +736,15 @@
             work = took[k] + SLOW_RUN * unit * usual / carries[k]
             carries[k] = usual * unit * (len(each) + SLOW_RUN) / work
 
-    def least(self, sess: Session, ahead: float, passed: set[int]) -> list[Server]:
-        """The servers of the best rank that tie for the smallest sum."""
+    def least(self, sess: Session, ahead: float, passed: set[int], spent: bool) -> Ties | None:
+        """The servers of the best rank that tie for the smallest sum; `spent`: no idle cold ones."""
         now = self.now
         mean = self.mean
         home, dear = self.site.zone, self.site.may_probe and self.site.crossing_price > 0
         wary = self.wary
         best: list[Server] = []
         best_key = (9, 0.0)
-        for server in self.ready:
+        for server in self.candidates.active.values():
             if sess.may_have_run is not None and not self.drops_repeat(sess, server):
                 continue
             if passed and server.index in passed:
@@ -671,29 +771,71 @@
             load = server.told + server.lacking * mean
             if now < server.handicap_at + FADE:
                 load += self.faded(server)
-            key = (rank, load * server.ease)
+            key = (rank, load * self.ease.get(server.kind, 1.0))
             if key < best_key:
                 best_key = key
                 best = [server]
             elif key == best_key:
                 best.append(server)
-        return best
+        groups: list[Group] = []
+        for group in self.idle_for(sess, spent):
+            is_cold = isinstance(group, ColdGroup)
+            rank = 1 if wary and not is_cold else -1 if dear and group.key.zone == home else 0
+            key = (rank, 0.0)
+            if key < best_key:
+                best_key = key
+                best = []
+                groups = [group]
+            elif key == best_key:
+                groups.append(group)
+        return Ties(best, groups) if best or groups else None
+
+    def idle_for(self, sess: Session, spent: bool) -> list[Group]:
+        """The idle servers that this session may be sent to, by groups."""
+        if self.keeps_to_cell(sess):
+            return []  # those of its cell are active now
+        groups = self.candidates.idle()
+        if spent:
+            groups = [group for group in groups if not isinstance(group, ColdGroup)]
+        if sess.may_have_run is not None and self.scope_of(sess) is Scope.ZONE:
+            groups = [group for group in groups if group.key.zone == sess.may_have_run.zone]
+        return groups
+
+    def scope_of(self, sess: Session) -> Scope:
+        """Within which servers drop a repeat of this session's line."""
+        listener = self.site.listeners[sess.listener]
+        return listener.scope if listener.effect is Effect.REFERENCED else Scope.ALL
+
+    def keeps_to_cell(self, sess: Session) -> bool:
+        return sess.may_have_run is not None and self.scope_of(sess) is Scope.CELL
 
     def drops_repeat(self, sess: Session, server: Server) -> bool:
-        listener = self.site.listeners[sess.listener]
-        ran = sess.may_have_run
-        if ran is None or listener.effect is not Effect.REFERENCED or listener.scope is Scope.ALL:
+        ran, scope = sess.may_have_run, self.scope_of(sess)
+        if ran is None or scope is Scope.ALL:
             return True
-        if listener.scope is Scope.ZONE:
-            return server.zone == ran.zone
-        return server.cell == ran.cell
+        return server.zone == ran.zone if scope is Scope.ZONE else server.cell == ran.cell
 
     # Cold servers
 
     def is_cold(self, server: Server) -> bool:
         return server.started > 0 and self.now - server.started < self.site.warm_after
 
-    def sum_of_kind(self, kind: int) -> float:
+    def warm_sums(self) -> WarmSums:
+        """What the warm servers hold of this balancer's sessions; all servers, where none is warm."""
+        candidates = self.candidates
+        candidates.advance(self.now)
+        any_warm = any(group.key.stage is not Stage.COLD for group in candidates.idle())
+        any_warm = any_warm or any(not self.is_cold(one) for one in candidates.active.values())
+        sums = WarmSums()
+        for group in candidates.idle():
+            if not any_warm or group.key.stage is not Stage.COLD:
+                sums.add(group.key.kind, 0.0, len(group.members))
+        for server in candidates.active.values():
+            if not any_warm or not self.is_cold(server):
+                sums.add(server.kind, self.own_sum(server), 1)
+        return sums
+
+    def sum_of_kind(self, kind: int, sums: WarmSums) -> float:
         """This balancer's part of what a warm server of this kind is known to be able to carry.
 
         It is what they hold, or where that is less, what the members' shares promise of each server: guards
@@ -701,12 +843,12 @@
         """
         site = self.site
         fair = max(site.promised / max(self.most_listed, 1), 1) * self.mean / site.replicas
-        warm = [s for s in self.ready if not self.is_cold(s)] or self.ready
-        mean = self.mean_sum(warm)
-        like = [s for s in warm if s.kind == kind] or warm
+        mean = sums.mean()
+        if not mean:
+            return fair
         # Less a session: guards against balancers that hold more than promised by chance, which add up.
-        held = mean - self.mean / len(warm) if site.promised else mean
-        return max(self.mean_sum(like) / mean * max(fair, held), self.mean / site.replicas) if mean else fair
+        held = mean - self.mean / sums.servers if site.promised else mean
+        return max(sums.mean_of(kind) / mean * max(fair, held), self.mean / site.replicas)
 
     def is_gated(self) -> bool:
         """By the chance that a server is full, what the others are sent until the next note is bounded.
@@ -720,7 +862,11 @@
         """What a cold server may be sent in a window, of what a warm one carries."""
         site = self.site
         age = max(self.now - server.started, 0)
-        able = site.cold_share + (1 - site.cold_share) * age / site.warm_after
+        return self.able_part(site.cold_share + (1 - site.cold_share) * age / site.warm_after)
+
+    def able_part(self, able: float) -> float:
+        """The same, where it can surely do this much of what it can when warm."""
+        site = self.site
         return site.fall_multiple * able * site.fall_window / site.warm_after
 
     def room_left(self, server: Server, budget: float, window: int) -> float:
@@ -730,7 +876,7 @@
             sent.popleft()
         return budget - sum(load for _, load in sent)
 
-    def may_grant(self, server: Server, room: float, ahead: float, window: int, ties: list[Server]) -> bool:
+    def may_grant(self, server: Server, room: float, ahead: float, window: int, ties: Ties) -> bool:
         """Grants less room than a dial by chance, drawn once for a window however many dials ask in it.
 
         Guards against many balancers that send one dial each and push the server over together. For a warm
@@ -769,16 +915,15 @@
             return
         out = self.count_sick() + 1
         home = self.site.zone
-        if 2 * out > len(self.ready) and not any(
-            s.zone == home and not s.sick and s is not server for s in self.ready
-        ):
+        if 2 * out > len(self.candidates.ready) and not self.others_well(server, home):
             # Guards against shutting out the fleet for a fault of the own link, the list or the store;
             # with servers of the own zone well, it is the other zones that are cut off.
             if not self.doubt:
                 self.doubt = True
-                self.log(f"most servers fail, {out} of {len(self.ready)}; none more taken out")
+                self.log(f"most servers fail, {out} of {len(self.candidates.ready)}; none more taken out")
             return
         self.doubt = False
+        self.candidates.activate(server)
         server.sick = True
         server.trial_at = self.trial_time(server)
         self.log(f"server {server.index} out: {failed} of {len(recent)} set-ups failed, {out} out")
@@ -806,8 +951,9 @@
         if 2 * len(bad) < FLEET_RECENT:
             return
         failing = {one.index for one in bad}
-        home = {one.zone for one in self.ready if one.zone == self.site.zone}
-        if 3 * len(failing) >= min(len(self.ready), FLEET_RECENT) and home <= {one.zone for one in bad}:
+        own_zone = self.site.zone
+        seen = not self.candidates.in_zone[own_zone] or any(one.zone == own_zone for one in bad)
+        if 3 * len(failing) >= min(len(self.candidates.ready), FLEET_RECENT) and seen:
             self.storm = True
             self.room = 1
             self.log(
@@ -819,7 +965,13 @@
         return self.now + int(self.uniform(0.75 * wait, 1.25 * wait))
 
     def count_sick(self) -> int:
-        return sum(s.sick for s in self.ready)
+        return sum(s.sick for s in self.candidates.active.values())
+
+    def others_well(self, server: Server, zone: int) -> bool:
+        """Whether this zone has a server that is not out, beside this one, which is not out yet."""
+        sick = sum(s.sick and s.zone == zone for s in self.candidates.active.values())
+        itself = server.zone == zone and server.ready_position >= 0
+        return self.candidates.in_zone[zone] > sick + itself
 
     def load_now(self, server: Server) -> float:
         """Load over what the server can do as last reported, 0 where no fresh report tells."""
@@ -854,8 +1006,8 @@
             return
         self.looked_at = self.now
         full = heard = 0
-        self.with_room = 0
-        for server in self.ready:
+        self.with_room = self.candidates.count_idle()
+        for server in self.candidates.active.values():
             pressed = self.is_pressed(server)
             if (server.standing or self.now <= server.told_until) and not self.is_stuck(server):
                 heard += 1
@@ -901,6 +1053,7 @@
         self.take_delay(self.servers[event.server], event.delay)
 
     def take_delay(self, server: Server, delay: int) -> None:
+        self.candidates.activate(server)
         server.delay = delay if 3 * delay > self.shortest_aim else 0
         server.slow_until = self.now + NOTE_LIFE if server.delay else -1
         if server.delay:
@@ -971,6 +1124,7 @@
             self.answer(server)
 
     def take_report(self, server: Server, pressure: float) -> None:
+        self.candidates.activate(server)
         server.pressure = pressure
         # An old report tells only what is far from the cap.
         server.told_until = self.now + int(min(REPORT_LIFE, abs(pressure - CAP) / DRIFT))
@@ -987,6 +1141,7 @@
             server = self.servers[event.index]
             if server.asking and self.now - server.asked_at >= self.ask_wait:
                 # Guards against waiting for a server out of reach; it is passed over while others answer.
+                self.candidates.activate(server)
                 server.silent_until = self.now + REPORT_LIFE
                 self.answer(server)
 
--- /dev/null
+++ b/thymedeck/policy/candidates.py
@@ -0,0 +1,233 @@
+"""The servers that are ready, held so that a decision visits only those of which something is known.
+
+A server is *idle* while nothing but its entry in the list bears on a decision: no session, no dial, no
+failure, no report. Idle servers have the same sum, zero, so they are held by groups of equals, and a decision
+treats a group as one. The others are *active*; there are about as many as this balancer holds sessions,
+however long the list is. A server becomes active by `activate`, and idle again by `settle`.
+"""
+
+import heapq
+from bisect import bisect_left, insort
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+from enum import IntEnum
+from typing import NamedTuple
+
+from .server import FADE, Server
+
+DRAWS = 32  # tried by weight before all members are weighed
+
+
+class Stage(IntEnum):
+    """By the time since a server's start."""
+
+    COLD = 0  # until its stated warm-up is over
+    YOUNG = 1  # until a newcomer's head start has faded
+    SETTLED = 2
+
+
+class Key(NamedTuple):
+    """What servers of a group have in common."""
+
+    kind: int
+    zone: int
+    stage: Stage
+
+
+class Group:
+    """Idle servers that differ by their weights alone."""
+
+    def __init__(self, key: Key) -> None:
+        self.key = key
+        self.members: list[Server] = []
+        self.weight = 0.0  # of all together
+        self.heaviest = 0.0  # at least as heavy as each member
+
+    def add(self, server: Server) -> None:
+        server.group = self
+        server.position = len(self.members)
+        self.members.append(server)
+        self.weight += server.weight
+        self.heaviest = max(self.heaviest, server.weight)
+
+    def remove(self, server: Server) -> None:
+        last = self.members.pop()
+        if last is not server:
+            self.members[server.position] = last
+            last.position = server.position
+        server.group = None
+        self.weight = self.weight - server.weight if self.members else 0.0
+
+    def draw(self, uniform: Callable[[float, float], float]) -> Server:
+        """One of the members, by their weights."""
+        count = len(self.members)
+        for _ in range(DRAWS):
+            place = uniform(0, count)
+            server = self.members[min(int(place), count - 1)]
+            if uniform(0, self.heaviest) < server.weight:
+                return server
+        left = uniform(0, sum(one.weight for one in self.members))
+        for server in self.members:
+            left -= server.weight
+            if left <= 0:
+                return server
+        return self.members[-1]
+
+
+class ColdGroup(Group):
+    """Cold servers in the order of the numbers drawn for them, each for one window.
+
+    Guards against asking each of them: a dial is granted to those whose number is below a chance.
+    """
+
+    def __init__(self, key: Key) -> None:
+        super().__init__(key)
+        self.order: list[tuple[float, int]] = []  # the number drawn, and the index
+        self.ends: list[tuple[int, int]] = []  # of windows, by index; a heap
+        self.named: dict[int, Server] = {}
+
+    def add(self, server: Server) -> None:
+        super().add(server)
+        self.named[server.index] = server
+        insort(self.order, (server.luck, server.index))
+        heapq.heappush(self.ends, (server.luck_until, server.index))
+
+    def remove(self, server: Server) -> None:
+        super().remove(server)
+        del self.named[server.index]
+        del self.order[bisect_left(self.order, (server.luck, server.index))]
+
+    def renew(self, now: int, window: int, uniform: Callable[[float, float], float]) -> None:
+        """Draws anew for the servers whose window is over."""
+        due: dict[int, Server] = {}
+        while self.ends and self.ends[0][0] <= now:
+            until, index = heapq.heappop(self.ends)
+            server = self.named.get(index)
+            if server is not None and server.luck_until == until:  # else it has left, or is back with another
+                due[index] = server
+        if not due:
+            return
+        for server in due.values():
+            server.luck = uniform(0, 1)
+            server.luck_until = now + window
+            heapq.heappush(self.ends, (server.luck_until, server.index))
+        kept = [one for one in self.order if one[1] not in due]
+        self.order = sorted(kept + [(server.luck, server.index) for server in due.values()])
+
+    def below(self, chance: float) -> Iterator[Server]:
+        """The members for which a number under this chance was drawn."""
+        for luck, index in self.order:
+            if luck >= chance:
+                return
+            yield self.named[index]
+
+
+class Candidates:
+    """All ready servers, active or in a group."""
+
+    def __init__(self, warm_after: int, window: int) -> None:
+        """`warm_after`: how long a server is cold; `window`: for how long what it was sent is remembered."""
+        self.warm_after = warm_after
+        self.window = window
+        self.ready: list[Server] = []
+        self.in_zone: Counter[int] = Counter()
+        self.in_cell: dict[int, dict[int, Server]] = {}
+        self.active: dict[int, Server] = {}
+        self.groups: dict[Key, Group] = {}
+        self.named: dict[int, Server] = {}
+        self.turns: list[tuple[int, int]] = []  # when a server's stage ends, and its index; a heap
+
+    # Which servers are ready
+
+    def add(self, server: Server, now: int) -> None:
+        """One that is ready from now on; active at first."""
+        server.ready_position = len(self.ready)
+        self.ready.append(server)
+        self.named[server.index] = server
+        self.in_zone[server.zone] += 1
+        self.in_cell.setdefault(server.cell, {})[server.index] = server
+        self.active[server.index] = server
+        for stage in (Stage.COLD, Stage.YOUNG):
+            if now < (end := self.end_of(server, stage)):
+                heapq.heappush(self.turns, (end, server.index))
+
+    def remove(self, server: Server) -> None:
+        """To be called before anything of its entry changes."""
+        if server.ready_position < 0:
+            return
+        self.activate(server)
+        del self.active[server.index]
+        del self.named[server.index]
+        last = self.ready.pop()
+        if last is not server:
+            self.ready[server.ready_position] = last
+            last.ready_position = server.ready_position
+        server.ready_position = -1
+        self.in_zone[server.zone] -= 1
+        cell = self.in_cell[server.cell]
+        del cell[server.index]
+        if not cell:
+            del self.in_cell[server.cell]
+
+    def reweigh(self, server: Server, weight: float) -> None:
+        group = server.group
+        if group is not None:
+            group.weight += weight - server.weight
+            group.heaviest = max(group.heaviest, weight)
+        server.weight = weight
+
+    # Idle or active
+
+    def activate(self, server: Server) -> None:
+        """Something becomes known of it."""
+        if server.group is not None:
+            server.group.remove(server)
+            self.active[server.index] = server
+
+    def settle(self, now: int, servers: Iterable[Server]) -> None:
+        """Puts those of these active servers into groups that are idle again."""
+        for server in servers:
+            if server.is_idle(now, self.window):
+                server.crowded.clear()
+                server.most = 0.0
+                server.sent.clear()
+                server.handicap = 0.0
+                del self.active[server.index]
+                self.group_for(server, now).add(server)
+
+    def group_for(self, server: Server, now: int) -> Group:
+        stage = self.stage(server, now)
+        key = Key(server.kind, server.zone, stage)
+        group = self.groups.get(key)
+        if group is None:
+            group = self.groups[key] = (ColdGroup if stage is Stage.COLD else Group)(key)
+        return group
+
+    # Stages
+
+    def end_of(self, server: Server, stage: Stage) -> int:
+        if server.started <= 0:
+            return 0
+        return server.started + self.warm_after + (FADE if stage is Stage.YOUNG else 0)
+
+    def stage(self, server: Server, now: int) -> Stage:
+        if now < self.end_of(server, Stage.COLD):
+            return Stage.COLD
+        return Stage.YOUNG if now < self.end_of(server, Stage.YOUNG) else Stage.SETTLED
+
+    def advance(self, now: int) -> None:
+        """Moves idle servers whose stage is over to their next group."""
+        while self.turns and self.turns[0][0] <= now:
+            server = self.named.get(heapq.heappop(self.turns)[1])
+            group = server.group if server is not None else None
+            if group is not None and group.key.stage is not self.stage(server, now):
+                group.remove(server)
+                self.group_for(server, now).add(server)
+
+    # What is asked of all
+
+    def idle(self) -> list[Group]:
+        return [group for group in self.groups.values() if group.members]
+
+    def count_idle(self) -> int:
+        return len(self.ready) - len(self.active)
