No attempt is begun past its client's time, however long the turn before it took

The time left was taken from the clock as it was read before the decision, and a line's wait counted only where a timer was late, so that work on others in the same turn was left out. A line on a connection that came up during a stall was written although its limit had passed. Change: a dial's limit is at most what is left of the client's time when it begins; what was read counts the time since the turn's look; a line is not written once its limit has passed. A request so refused was never forwarded.

--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -27,6 +27,7 @@
     without list             before `start`: the file names no list
     settings NAME            those of tests/scenarios/settings, before `start`
     breaks ACTION            the next such action of the decisions fails in the service
+    thinks MS                the decision on the next session takes so long
     ended                    the service has stopped within ten seconds, and the process is gone
     log no PATTERN           no such line since the last one that was looked for
 """
@@ -40,6 +41,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from thymedeck.interface import SessionCame
 from thymedeck.net.connection import Connection
 from thymedeck.net.ring import Ring
 from thymedeck.net.service import Service
@@ -223,6 +225,18 @@
 
         self.service.carry_out = broken
 
+    def on_thinks(self, span: str) -> None:
+        handle = self.service.balancer.handle
+
+        def slow(now: int, event: object) -> list:
+            actions = handle(now, event)
+            if isinstance(event, SessionCame):
+                self.service.balancer.handle = handle
+                self.system.now_ns += int(span) * 1_000_000
+            return actions
+
+        self.service.balancer.handle = slow
+
     def on_ended(self) -> None:
         for _ in range(0, UNTIL_ENDED, STEP):
             if not self.service.loop.running:
--- a/thymedeck/net/clients.py
+++ b/thymedeck/net/clients.py
@@ -7,7 +7,7 @@
 from .connection import Connection
 from .endings import Ending
 from .lines import Garbled, first_line
-from .loop import READ
+from .loop import LATE, READ
 from .servers import Dialled
 
 if TYPE_CHECKING:
@@ -69,7 +69,7 @@
         client = Client(self.service, sock)
         if loop.free < loop.reserve:
             client.answer(b"BUSY\r\n", Ending.PUSHED_OUT)
-        elif loop.behind:
+        elif loop.waited() > LATE:
             client.read()  # so that what waited with it is known to have waited
 
     def close(self) -> None:
@@ -93,6 +93,7 @@
         self.done = False
         self.asked_at = -1  # when the first line went on that nothing has come back for
         self.pings = 0
+        self.answer_by = 0  # once its line has come
         self.due = self.loop.after(FIRST_LINE_WITHIN, self.no_line)
         service.connected[self] = None
         service.loose[self] = None
@@ -146,6 +147,7 @@
     def await_answer(self, wait: int) -> None:
         """Guards against a fault that would leave a client with no answer at all."""
         self.due = self.loop.after(wait, self.unanswered)
+        self.answer_by = self.due.at
 
     def unanswered(self) -> None:
         if not self.standing:
--- a/thymedeck/net/loop.py
+++ b/thymedeck/net/loop.py
@@ -62,6 +62,10 @@
         heapq.heappush(self.timers, (due.at, self.count, due))
         return due
 
+    def waited(self) -> int:
+        """For how long at the most what is read now may have lain unread."""
+        return self.behind + self.now() - self.looked_at
+
     def watch(self, sock: socket.socket | int, before: int, mask: int, ready: Ready) -> None:
         """Changes what is awaited of a socket from the mask before to this one; 0 is nothing."""
         if mask == before:
--- a/thymedeck/net/servers.py
+++ b/thymedeck/net/servers.py
@@ -69,7 +69,9 @@
     def on_up(self) -> None:
         """The line goes now, if it is still to go."""
         self.connect_due.cancel()
-        if not self.service.may_send(self):
+        if self.loop.now() >= self.limit_due.at:
+            self.limit_passed()
+        elif not self.service.may_send(self):
             self.finish(Ending.OVERTAKEN)
 
     def on_unwritable(self) -> None:
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -255,7 +255,7 @@
             return
         self.hold(client)
         # Guards against an answer after the client's time: some has passed while the line lay unread.
-        wait = max(wait - self.loop.behind, 0)
+        wait = max(wait - self.loop.waited(), 0)
         client.await_answer(wait)
         self.tell(own.SessionCame(sess, listener, wait, hint, subject, figures.get(b"mid_flow") == b"1"))
 
@@ -264,7 +264,9 @@
         sess, server = action.sess, action.server
         client = self.clients.get(sess)  # None: it has left, which is still to be told
         within = self.site.connect_timeout
-        if client is None or self.closing or not self.begin_dial(client, server, within, action.limit):
+        # Guards against an attempt past the client's time: the decision took some of it.
+        limit = min(action.limit, client.answer_by - self.loop.now()) if client is not None else 0
+        if limit <= 0 or self.closing or not self.begin_dial(client, server, within, limit):
             gone = sess not in self.clients
             self.tell(own.DialEnded(sess, server, OUTCOMES[Ending.NO_SOCKET], gone, None))
 
