What the service does at rest and for a change no longer grows with the list of servers

Callers would see late answers on small shares of a core: twice a second the service looked at every server ever listed, a list logged a line for each of its entries, changed or not, and each server kept four empty deques of 700 bytes. Change: only servers with sessions or delays are looked at; only entries that tell something new are logged, with one line list_taken for the list; small lists in place of deques. take_list is cut into its steps.

--- a/tests/test_many_servers.py
+++ b/tests/test_many_servers.py
@@ -1,9 +1,19 @@
 """Fleets of thousands of servers: what a decision costs must not grow with the list."""
 
+import sys
+from collections.abc import Callable
+from types import FrameType
+
+import msgspec
+import pytest
+
+from thymedeck import interface as own
 from thymedeck.lab import checks
 from thymedeck.lab.play import settings
-from thymedeck.lab.stage import SECOND, Processes
+from thymedeck.lab.stage import SECOND, Processes, Virtual
 from thymedeck.lab.standins import Listed
+from thymedeck.net.service import Service
+from thymedeck.net.told import Listing
 
 SERVERS = 3_200
 FLEET = 200  # balancers that the settings tell of; one of them runs
@@ -42,3 +52,67 @@
     assert len(stage.record.of("client line")) > RATE * 4
     assert not checks.one_answer(entries, stage.now())
     assert not [one for one in log if one["event"] in ("fault", "text", "unanswered")]
+
+
+USUAL = 200  # servers
+HELD = 100  # sessions that stand, whatever the servers
+CHANGED = 20  # servers, in a change of the list
+GROWTH = 1.5  # of the lines run; a walk over all servers would run 16 times as many
+
+
+def lines_run(call: Callable[[], object]) -> int:
+    """How many lines of Python it runs: a measure of its work that does not depend on the machine."""
+    count = 0
+
+    def trace(frame: FrameType, event: str, argument: object) -> Callable:
+        nonlocal count
+        count += event == "line"
+        return trace
+
+    before = sys.gettrace()
+    sys.settrace(trace)
+    try:
+        call()
+    finally:
+        sys.settrace(before)
+    return count
+
+
+def holding(servers: int) -> Service:
+    """A balancer with that many servers, a third of them just started, and HELD sessions on the others."""
+    stage = Virtual(1, settings(FLEET, ["m1", "m2"], ["a", "b"]))
+    now_ms = stage.ground.time_ns() / 1_000_000
+    stage.known = [
+        Listed(f"s{at}", zone="ab"[at % 2], kind=f"m{1 + at // 2 % 2}", started_ms=0 if at % 3 else now_ms)
+        for at in range(servers)
+    ]
+    stage.start("b0")
+    service = stage.services["b0"]
+    warm = [at for at in range(servers) if at % 3][:HELD]
+    for sess, server in enumerate(warm):
+        service.balancer.handle(service.loop.now(), own.SessionStands(sess, 0, None, None, server))
+    return service
+
+
+def place(service: Service) -> int:
+    """Lines of ten placements, none of which is the first in a window of the cold servers."""
+    now = service.loop.now()
+    came = [own.SessionCame(10_000 + at, 0, DEADLINE, None, None, False) for at in range(11)]
+    service.balancer.handle(now, came[0])
+    return lines_run(lambda: [service.balancer.handle(now, one) for one in came[1:]])
+
+
+def change(service: Service) -> int:
+    rows = [{"id": f"s{at}", "state": "DRAINING", "addr": "10.9.9.9:8000"} for at in range(CHANGED)]
+    listing = Listing(2, servers=[msgspec.Raw(msgspec.json.encode(row)) for row in rows])
+    return lines_run(lambda: service.listed(listing))
+
+
+# Guards against work that grows with the list of servers where a decision or a look has to be made in time.
+@pytest.mark.parametrize(
+    "work",
+    [place, change, lambda service: lines_run(service.look_round)],
+    ids=["placements", "change of the list", "look at what stands"],
+)
+def test_work_does_not_grow_with_the_list(work: Callable[[Service], int]) -> None:
+    assert work(holding(SERVERS)) < GROWTH * work(holding(USUAL))
--- a/thymedeck/net/servers.py
+++ b/thymedeck/net/servers.py
@@ -1,6 +1,5 @@
 """The servers' side: a connection for each dial, and what is learnt of each server from its lines."""
 
-from collections import deque
 from typing import TYPE_CHECKING
 
 from ..interface import Entry
@@ -26,11 +25,16 @@
         self.address = address
         self.entry: Entry | None = None  # as last listed
         self.beat = Beat()
-        self.delays: deque[int] = deque(maxlen=SAMPLES)
+        self.delays: list[int] = []  # the latest; no deque, which takes 700 bytes even if empty
         self.slow = False  # its messages were told to be slow
         self.stopped = False  # lines wait there and none has been answered since
         self.standing: dict[Client, None] = {}  # in the order in which they came to stand
 
+    def message_took(self, took: int) -> None:
+        self.delays.append(took)
+        if len(self.delays) > SAMPLES:
+            del self.delays[0]
+
 
 class Dialled(Connection):
     """One dial: up to the server's first line it may fail, from then on it carries the session."""
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Callable
 
+import msgspec
 from msgspec.structs import replace
 
 from .. import interface as own
@@ -107,6 +108,7 @@
         self.since_unix = self.loop.now() - system.time_ns() // 100_000
         self.server_index: dict[str, int] = {}
         self.servers: list[Known] = []
+        self.in_use: dict[int, Known] = {}  # those with sessions, or with delays not told yet
         self.clients: dict[int, Client] = {}
         self.idents: set[bytes] = set()  # of these
         self.connected: dict[Client, None] = {}  # all whose connection is open, in their order
@@ -324,7 +326,8 @@
     def stands(self, dial: Dialled, took: int) -> None:
         client = dial.client
         client.stand(dial)
-        self.servers[dial.server].standing[client] = None
+        known = self.in_use[dial.server] = self.servers[dial.server]
+        known.standing[client] = None
         if client.fixed < 0:
             self.log("up", sess=client.sess, server=dial.server, took=took)
             self.tell(own.Established(client.sess, dial.server, took))
@@ -388,13 +391,17 @@
         self.tell(own.LoadTold(sess, load))
 
     def message_took(self, server: int, took: int) -> None:
-        self.servers[server].delays.append(took)
+        known = self.in_use[server] = self.servers[server]
+        known.message_took(took)
 
     def look_round(self) -> None:
         """Tells of slow messages, from answers and what is still unanswered, and once when that is over."""
         self.loop.after(LOOK_EVERY, self.look_round)
         now = self.loop.now()
-        for index, server in enumerate(self.servers):
+        for index, server in list(self.in_use.items()):
+            if not (server.standing or server.delays):
+                del self.in_use[index]
+                continue
             late = [c for c in server.standing if c.asked_at >= 0]
             delays = sorted([*server.delays, *(now - c.asked_at for c in late)])
             server.delays.clear()
@@ -423,47 +430,63 @@
 
     def take_list(self, listing: Listing, kind: own.ListKind) -> None:
         entries = []
+        changed = 0
         for raw in listing.servers:
-            try:
-                row = usable(raw)
-            except UNREADABLE as why:
-                # Guards against one bad entry that spoils the list: the rest is used, it stays as it was.
-                self.log("bad_entry", why=str(why), entry=bytes(raw)[:200].decode("latin-1"))
-                index = self.server_index.get(name_of(raw), -1)
-                if index >= 0:
-                    entries.append(self.servers[index].entry)
+            index, entry = self.read_entry(raw)
+            if entry is None:
                 continue
-            index = self.server_index.get(row.id)
-            try:
-                place = server_address(row.addr)
-            except ValueError:
-                if index is None:
-                    self.log("bad_address", server=row.id, address=row.addr)
-                    continue
-                place = self.servers[index].address
-            if index is None:
-                index = self.server_index[row.id] = len(self.servers)
-                self.servers.append(Known(place))
-            self.servers[index].address = place
-            state = STATES.get(row.state, own.State.DRAINING)
-            started = max(int(row.started_ms * 10) + self.since_unix, 1) if row.started_ms > 0 else 0
-            weight = max(row.weight, LEAST_WEIGHT)
-            if state is not own.State.READY and kind is not own.ListKind.SAVED:
-                self.drains(index)
-            zone, machine = self.zones.get(row.zone, -1), self.kinds.get(row.kind, -1)
-            entry = own.Entry(index, zone, row.cell, state, started, weight, machine)
-            self.servers[index].entry = entry
             entries.append(entry)
-            more = {"zone": row.zone, "machine": row.kind, "state": row.state, "started_ms": row.started_ms}
-            self.log("listed", kind=kind.name, server=index, id=row.id, **more)
+            known = self.servers[index]
+            if entry.state is not own.State.READY and kind is not own.ListKind.SAVED:
+                self.drains(index)
+            if entry != known.entry:
+                known.entry = entry
+                changed += 1
+                self.log_listed(raw, index, kind)
         if kind is own.ListKind.WHOLE:
-            named = {entry.server for entry in entries}
-            for index, known in enumerate(self.servers):
-                if index not in named:
-                    known.entry = replace(known.entry, state=own.State.GONE)
-                    self.drains(index)
+            self.drop_unlisted({entry.server for entry in entries})
+        self.log("list_taken", kind=kind.name, servers=len(entries), changed=changed)
         self.tell(own.ServerList(kind, entries))
 
+    def read_entry(self, raw: msgspec.Raw) -> tuple[int, own.Entry | None]:
+        """A server's index and entry; None where nothing of it can be used."""
+        try:
+            row = usable(raw)
+        except UNREADABLE as why:
+            # Guards against one bad entry that spoils the list: the rest is used, it stays as it was.
+            self.log("bad_entry", why=str(why), entry=bytes(raw)[:200].decode("latin-1"))
+            index = self.server_index.get(name_of(raw), -1)
+            return index, self.servers[index].entry if index >= 0 else None
+        index = self.server_index.get(row.id)
+        try:
+            place = server_address(row.addr)
+        except ValueError:
+            if index is None:
+                self.log("bad_address", server=row.id, address=row.addr)
+                return -1, None
+            place = self.servers[index].address
+        if index is None:
+            index = self.server_index[row.id] = len(self.servers)
+            self.servers.append(Known(place))
+        self.servers[index].address = place
+        state = STATES.get(row.state, own.State.DRAINING)
+        started = max(int(row.started_ms * 10) + self.since_unix, 1) if row.started_ms > 0 else 0
+        weight = max(row.weight, LEAST_WEIGHT)
+        zone, machine = self.zones.get(row.zone, -1), self.kinds.get(row.kind, -1)
+        return index, own.Entry(index, zone, row.cell, state, started, weight, machine)
+
+    def log_listed(self, raw: msgspec.Raw, index: int, kind: own.ListKind) -> None:
+        row = usable(raw)
+        more = {"zone": row.zone, "machine": row.kind, "state": row.state, "started_ms": row.started_ms}
+        self.log("listed", kind=kind.name, server=index, id=row.id, **more)
+
+    def drop_unlisted(self, named: set[int]) -> None:
+        """What a whole list leaves out is gone."""
+        for index, known in enumerate(self.servers):
+            if index not in named and known.entry.state is not own.State.GONE:
+                known.entry = replace(known.entry, state=own.State.GONE)
+                self.drains(index)
+
     def drains(self, index: int) -> None:
         """Guards against sessions cut off when their server goes: what still stands there is moved before."""
         standing = list(self.servers[index].standing)
--- a/thymedeck/policy/balancer.py
+++ b/thymedeck/policy/balancer.py
@@ -43,7 +43,7 @@
     TimerDue,
 )
 from .candidates import Candidates, ColdGroup, Group, Stage
-from .server import FADE, RECENT, SECOND, SLOW_RUN, Server
+from .server import CROWDED, FADE, RECENT, SECOND, SLOW_RUN, Server, remember
 
 LOG_PAUSE = 10 * SECOND  # a mode that has rested this long is logged again when it returns
 HISTORY = 100  # connections whose mean stands in for a load not yet told (design page)
@@ -873,7 +873,7 @@
         """What is left of this balancer's part of what the server may be sent in a window."""
         sent = server.sent
         while sent and sent[0][0] <= self.now - window:
-            sent.popleft()
+            del sent[0]
         return budget - sum(load for _, load in sent)
 
     def may_grant(self, server: Server, room: float, ahead: float, window: int, ties: Ties) -> bool:
@@ -896,7 +896,7 @@
         if not unreachable:
             self.watch_fleet(server, well and not late, well)
         recent = server.recent
-        recent.append(well)
+        remember(recent, well, RECENT)
         if well:
             if server.sick and (len(recent) < 2 or recent[-2]):
                 server.sick = False
@@ -996,7 +996,7 @@
         """
         crowded = server.crowded
         while crowded and crowded[0][0] < self.now - FADE:
-            crowded.popleft()
+            del crowded[0]
             server.most = min((load for _, load in crowded), default=0.0)
         return bool(crowded) and server.told + ahead > server.most
 
@@ -1043,7 +1043,7 @@
         What the last few took beyond the quickest in that zone, less the usual, counts as a message's delay.
         """
         quickest = self.quickest[server.zone] = min(took, self.quickest.get(server.zone, took))
-        server.waits.append(took - quickest)
+        remember(server.waits, took - quickest, SLOW_RUN)
         self.waits.append(took - quickest)
         if len(server.waits) == SLOW_RUN:
             usual = sorted(self.waits)[len(self.waits) // 2]
@@ -1060,7 +1060,7 @@
             self.look_round()
             if self.with_room and not self.is_stuck(server):
                 # With all of them slow, or where it hangs, it is not this sum that makes it slow.
-                server.crowded.append((self.now, HEADROOM * server.told))
+                remember(server.crowded, (self.now, HEADROOM * server.told), CROWDED)
                 server.most = min(load for _, load in server.crowded)
         if delay <= self.shortest_aim:
             server.over = 0
--- a/thymedeck/policy/server.py
+++ b/thymedeck/policy/server.py
@@ -1,6 +1,5 @@
 """What one balancer knows of a server."""
 
-from collections import deque
 from typing import TYPE_CHECKING
 
 from ..interface import Entry
@@ -16,6 +15,13 @@
 SLOW_RUN = 3  # last set-ups at a server that tell of slow messages where nothing else does
 
 
+def remember(kept: list, new: object, most: int) -> None:
+    """Keeps the latest so many. The lists are no deques, each of which takes 700 bytes even if empty."""
+    kept.append(new)
+    if len(kept) > most:
+        del kept[0]
+
+
 class Server:
     """A server as this balancer alone has seen it."""
 
@@ -40,7 +46,7 @@
         self.handicap_at = 0
         self.dials_out = 0  # outlives a restart: what is out still ends
         self.standing: dict[int, Session] = {}
-        self.sent: deque[tuple[int, float]] = deque()  # what went to it lately while cold
+        self.sent: list[tuple[int, float]] = []  # what went to it lately while cold
         self.asked_at = 0
         self.asking: list[int] = []  # sessions that wait for its report
         self.forget()
@@ -56,18 +62,18 @@
     def forget(self) -> None:
         self.luck = 1.0  # drawn for a window: with more room than this, in mean loads, a dial is let in
         self.luck_until = 0
-        self.recent: deque[bool] = deque(maxlen=RECENT)  # set-ups: accepted or not
+        self.recent: list[bool] = []  # set-ups: accepted or not
         self.sick = False
         self.trial_at = 0
         self.trials = 0
         self.full_until = 0
-        self.crowded: deque[tuple[int, float]] = deque(maxlen=CROWDED)  # own sums at which messages were slow
+        self.crowded: list[tuple[int, float]] = []  # own sums at which messages were slow
         self.most = 0.0  # the least of these
         self.over = 0  # notes in a row of messages past the shortest aim
         self.relieved_at = -FADE
         self.delay = 0
         self.slow_until = -1
-        self.waits: deque[int] = deque(maxlen=SLOW_RUN)  # of its last set-ups
+        self.waits: list[int] = []  # of its last set-ups
         self.pressure = 0.0
         self.told_at_report = 0.0
         self.told_until = -1  # how long its last report tells on which side of the cap it is
