Tests of the groups of idle servers against a walk over all; sums of weights are kept right

Found while writing them: a group's summed weight was kept by adding and taking off, so that after a server of a great weight had gone nothing, or less, could be left for the others, and a draw would have failed: a request without an answer. It is summed anew where so little is left.

--- /dev/null
+++ b/tests/test_candidates.py
@@ -0,0 +1,189 @@
+"""Groups of idle servers: a placement that visits groups has to see what a walk over all servers would."""
+
+import random
+from collections import Counter
+
+import pytest
+from msgspec.structs import replace
+
+from thymedeck import interface as own
+from thymedeck.lab.cold import LISTENER, SITE
+from thymedeck.policy.balancer import CAP, Balancer, Session
+from thymedeck.policy.candidates import ColdGroup, Group, Key, Stage
+from thymedeck.policy.server import FADE, SECOND, Server
+
+SERVERS = 40
+EVENTS = 250
+DEADLINE = 12_000
+ENDED = [own.Outcome.FULL, own.Outcome.ERROR, own.Outcome.UNREACHABLE, own.Outcome.RESET, own.Outcome.OVERDUE]
+SCOPES = [
+    replace(LISTENER, effect=own.Effect.REFERENCED, scope=scope, memory=10**9)
+    for scope in (own.Scope.ALL, own.Scope.ZONE, own.Scope.CELL)
+]
+
+
+class Day:
+    """Events by chance, of every kind that bears on which servers are idle."""
+
+    def __init__(self, seed: int, probes: bool) -> None:
+        self.chance = random.Random(seed)
+        listeners = (LISTENER, *SCOPES)
+        site = replace(SITE, listeners=listeners, replicas=3, may_probe=probes, crossing_price=0.1 * probes)
+        self.balancer = Balancer(seed, site)
+        self.now = 100 * SECOND
+        self.next_sess = 0
+        self.dialled: dict[int, int] = {}
+        self.standing: dict[int, int] = {}
+        self.asked: list[int] = []
+        self.tell(own.ServerList(own.ListKind.SAVED, [self.entry(at) for at in range(SERVERS)]))
+
+    def entry(self, at: int) -> own.Entry:
+        chance = self.chance
+        state = chance.choice([own.State.READY] * 4 + [own.State.DRAINING, own.State.GONE])
+        started = chance.choice([0, 0, 1, self.now, self.now - SITE.warm_after - SECOND])
+        return own.Entry(at, at % 2, at // 4, state, started, chance.choice([1e-6, 0.5, 1.0, 1e9]), at % 3)
+
+    def tell(self, event: own.Event) -> None:
+        for action in self.balancer.handle(self.now, event):
+            if isinstance(action, own.Dial):
+                self.dialled[action.sess] = action.server
+            elif isinstance(action, own.Probe):
+                self.asked.append(action.server)
+
+    def step(self) -> None:
+        chance = self.chance
+        self.now += chance.choice([1, 200, SECOND, 5 * SECOND]) if chance.random() < 0.9 else FADE
+        what = chance.random()
+        if what < 0.35:
+            self.next_sess += 1
+            listener = chance.randrange(1 + len(SCOPES))
+            self.tell(own.SessionCame(self.next_sess, listener, DEADLINE, 1.0, None, False))
+        elif what < 0.65 and self.dialled:
+            self.end_dial()
+        elif what < 0.75 and self.standing:
+            sess, server = self.standing.popitem()
+            outcome = chance.choice([own.Outcome.ENDED, own.Outcome.RESET])
+            self.tell(own.DialEnded(sess, server, outcome, True, None))
+        elif what < 0.85:
+            self.tell(own.DelayTold(-1, chance.randrange(SERVERS), chance.choice([0, 300, 900, 9000])))
+        elif what < 0.9 and self.asked:
+            self.end_probe()
+        else:
+            kind = chance.choice([own.ListKind.CHANGES, own.ListKind.CHANGES, own.ListKind.WHOLE])
+            some = chance.sample(range(SERVERS), 4 if kind is own.ListKind.CHANGES else SERVERS - 4)
+            self.tell(own.ServerList(kind, [self.entry(at) for at in some]))
+
+    def end_dial(self) -> None:
+        sess, server = self.dialled.popitem()
+        if self.chance.random() < 0.5:
+            self.standing[sess] = server
+            self.tell(own.Established(sess, server, 20))
+        else:
+            self.tell(own.DialEnded(sess, server, self.chance.choice(ENDED), False, None))
+
+    def end_probe(self) -> None:
+        """It is answered, also long after its time."""
+        server = self.asked[0]
+        if self.chance.random() < 0.5:
+            self.tell(own.TimerDue(own.Timer.ASK, server))
+        else:
+            pressure = self.chance.choice([None, 0.2, 0.8, 1.2])
+            self.tell(own.Probed(self.asked.pop(0), pressure is not None, pressure))
+
+
+def check_places(balancer: Balancer) -> None:
+    """Each ready server is in one place, the right one, and nothing else is in any."""
+    candidates = balancer.candidates
+    ready = {at: one for at, one in balancer.servers.items() if one.state is own.State.READY}
+    assert {one.index for one in candidates.ready} == set(ready) == set(candidates.named)
+    assert all(candidates.ready[one.ready_position] is one for one in ready.values())
+    assert +candidates.in_zone == Counter(one.zone for one in ready.values())
+    assert {at for cell in candidates.in_cell.values() for at in cell} == set(ready)
+    grouped: dict[int, Server] = {}
+    for group in candidates.groups.values():
+        assert group.weight == pytest.approx(sum(one.weight for one in group.members), rel=1e-3)
+        for at, server in enumerate(group.members):
+            assert (server.position, server.group) == (at, group)
+            assert (server.kind, server.zone) == group.key[:2]
+            assert server.is_idle(balancer.now, candidates.window) and not balancer.own_sum(server)
+            assert not (server.sick or server.standing or server.dials_out)
+            grouped[server.index] = server
+        if isinstance(group, ColdGroup):
+            assert group.order == sorted((one.luck, one.index) for one in group.members)
+    assert not set(grouped) & set(candidates.active)
+    assert set(grouped) | set(candidates.active) == set(ready)
+    assert balancer.listed == sum(one.state is not own.State.GONE for one in balancer.servers.values())
+
+
+def by_walk(balancer: Balancer, sess: Session, ahead: float) -> set[int]:
+    """The servers that tie, told from each ready server alone."""
+    now, site = balancer.now, balancer.site
+    keys: dict[int, tuple[int, float]] = {}
+    for server in balancer.servers.values():
+        if server.state is not own.State.READY or not balancer.drops_repeat(sess, server):
+            continue
+        unheard = not (server.standing or server.dials_out or balancer.is_cold(server))
+        if server.index in sess.tried:
+            rank = 4
+        elif server.sick and (now < server.trial_at or server.dials_out):
+            rank = 3
+        elif server.full_until > now or server.silent_until > now:
+            rank = 2
+        elif (
+            now <= server.slow_until
+            or (now <= server.told_until and balancer.load_now(server) >= CAP)
+            or balancer.would_crowd(server, ahead)
+            or (balancer.wary and unheard)
+        ):
+            rank = 1
+        else:
+            rank = -1 if site.may_probe and site.crossing_price and server.zone == site.zone else 0
+        load = balancer.own_sum(server) + balancer.faded(server)
+        keys[server.index] = (rank, load * balancer.ease.get(server.kind, 1.0))
+    return {at for at, key in keys.items() if key == min(keys.values())}
+
+
+# Guards against servers lost between groups, or taken for idle while something is known of them.
+@pytest.mark.parametrize("probes", [False, True])
+@pytest.mark.parametrize("seed", range(12))
+def test_groups_hold_what_a_walk_over_all_servers_sees(seed: int, probes: bool) -> None:
+    day = Day(seed, probes)
+    balancer = day.balancer
+    chance = random.Random(seed)
+    compared = 0
+    for _ in range(EVENTS):
+        day.step()
+        check_places(balancer)
+        sess = Session(chance.randrange(1 + len(SCOPES)), day.now + DEADLINE, 1.0, None)
+        sess.tried = chance.sample(range(SERVERS), chance.randrange(3))
+        sess.may_have_run = chance.choice([None, balancer.servers[chance.randrange(SERVERS)]])
+        balancer.wary = not probes and chance.random() < 0.3
+        burdens = {at: balancer.faded(one) for at, one in balancer.servers.items()}
+        balancer.prepare(sess)
+        assert {at: balancer.faded(one) for at, one in balancer.servers.items()} == burdens
+        check_places(balancer)
+        ties = balancer.least(sess, 1.0, set(), False)
+        found = (
+            [] if ties is None else [*ties.servers, *(one for group in ties.groups for one in group.members)]
+        )
+        assert len({one.index for one in found}) == len(found)
+        assert {one.index for one in found} == by_walk(balancer, sess, 1.0)
+        compared += len(found) > 1
+    assert compared > EVENTS / 4
+
+
+@pytest.mark.parametrize("weights", [[1.0] * 5, [1e-6, 1.0, 3.0], [1e12, 1e-6, 1e-6, 2e-6]], ids=str)
+def test_a_group_draws_by_weight(weights: list[float]) -> None:
+    group = Group(Key(0, 0, Stage.SETTLED))
+    for at, weight in enumerate(weights):
+        group.add(Server(own.Entry(at, 0, 0, own.State.READY, 0, weight)))
+    uniform = random.Random(1).uniform
+    rounds = 6000
+    for left in (weights, weights[1:]):
+        drawn = Counter(group.draw(uniform).index for _ in range(rounds))
+        start = len(weights) - len(left)
+        for at, weight in enumerate(left, start):
+            share = weight / sum(left)
+            assert abs(drawn[at] / rounds - share) < 5 * (share * (1 - share) / rounds) ** 0.5 + 1e-9
+        assert group.weight == pytest.approx(sum(left))
+        group.remove(next(one for one in group.members if one.index == start))
--- a/thymedeck/policy/balancer.py
+++ b/thymedeck/policy/balancer.py
@@ -536,7 +536,6 @@
             if outcome is Outcome.ENDED:
                 self.set_up_went(server, True)  # answered in one piece, without being established first
             elif outcome is Outcome.FULL:
-                self.candidates.activate(server)
                 server.full_until = self.now + int(self.uniform(self.try_wait / 2, self.try_wait))
             elif outcome is Outcome.ERROR:
                 sess.erred.append(server)
--- a/thymedeck/policy/candidates.py
+++ b/thymedeck/policy/candidates.py
@@ -16,6 +16,7 @@
 from .server import FADE, Server
 
 DRAWS = 32  # tried by weight before all members are weighed
+ROUNDING = 1e-6  # a sum is made anew if so little of what is taken off it is left
 
 
 class Stage(IntEnum):
@@ -56,7 +57,9 @@
             self.members[server.position] = last
             last.position = server.position
         server.group = None
-        self.weight = self.weight - server.weight if self.members else 0.0
+        self.weight -= server.weight
+        if self.weight < ROUNDING * server.weight:
+            self.weight = sum(one.weight for one in self.members)
 
     def draw(self, uniform: Callable[[float, float], float]) -> Server:
         """One of the members, by their weights."""
@@ -66,6 +69,7 @@
             server = self.members[min(int(place), count - 1)]
             if uniform(0, self.heaviest) < server.weight:
                 return server
+        self.heaviest = max(one.weight for one in self.members)
         left = uniform(0, sum(one.weight for one in self.members))
         for server in self.members:
             left -= server.weight
@@ -172,9 +176,10 @@
     def reweigh(self, server: Server, weight: float) -> None:
         group = server.group
         if group is not None:
-            group.weight += weight - server.weight
-            group.heaviest = max(group.heaviest, weight)
+            group.remove(server)
         server.weight = weight
+        if group is not None:
+            group.add(server)
 
     # Idle or active
 
