--- a/thymedeck/interface.py
+++ b/thymedeck/interface.py
@@ -4,7 +4,7 @@
 caller hands out; loads are millionths of a standard core. Nothing here belongs to any protocol.
 """
 
-from enum import IntEnum
+from enum import IntEnum, StrEnum
 
 from msgspec import Struct
 
@@ -52,6 +52,17 @@
     FAILED = 3
 
 
+class Reason(StrEnum):
+    """Why a session is refused or torn down."""
+
+    PACED = "set-ups fail all over the fleet"
+    TIME_UP = "no time left for a dial"
+    DIALS_USED = "all dials used"
+    MAY_HAVE_RUN = "it may have run and must not run again"
+    FULL = "no server has room"
+    NO_SERVER = "no server is ready"
+
+
 class Timer(IntEnum):
     LIST = 0
     ASK = 1
@@ -191,10 +202,12 @@
 class Refuse(Struct):
     sess: int
     come_back: int
+    reason: Reason
 
 
 class TearDown(Struct):
     sess: int
+    reason: Reason
 
 
 class Move(Struct):
--- a/thymedeck/net/loop.py
+++ b/thymedeck/net/loop.py
@@ -44,6 +44,7 @@
         self.on_fault = on_fault
         self.running = False
         self.looked_at = self.now()
+        self.longest_turn = 0  # from one look at what is ready to the next, since somebody set it to 0
         self.behind = 0  # what is read now may have waited so long, as this process stood still
         self.first: Ready | None = None  # has its turn before all others that are ready
 
@@ -100,6 +101,7 @@
                 self.guard(call)
 
     def look(self, wait: float | None) -> None:
+        self.longest_turn = max(self.longest_turn, self.now() - self.looked_at)
         found = self.selector.select(wait)
         now = self.now()
         late = self.timers and now - self.timers[0][0] > LATE
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -32,6 +32,8 @@
 MOST_LOAD = 1e12  # a figure beyond this, or none at all, is no load
 DRAIN_WITHIN = SECOND  # within which the sessions of a server that drains are moved
 LOOK_EVERY = SECOND // 2  # at the standing sessions of each server
+LONG_TURN = SECOND // 10  # of the loop, and LONG_DECISION: both are logged, as all else waits meanwhile
+LONG_DECISION = SECOND // 20
 SILENT = 3 * SECOND  # a line that nothing has come back for so long tells of a connection that is dead
 SILENT_TOGETHER = SECOND  # the same where its server has answered nobody lately
 STOPPED = 3  # lines without an answer at a server that has answered none lately: it has stopped, not they
@@ -159,7 +161,14 @@
 
     def decide(self, event: own.Event) -> None:
         """Guards against an action whose fault loses the event's others."""
-        for action in self.balancer.handle(self.loop.now(), event):
+        begun = self.loop.now()
+        actions = self.balancer.handle(begun, event)
+        took = self.loop.now() - begun
+        if took >= LONG_DECISION:
+            candidates = self.balancer.candidates
+            counts = {"servers": len(candidates.ready), "active": len(candidates.active)}
+            self.log("slow_decision", about=type(event).__name__, took=took, **counts)
+        for action in actions:
             self.loop.guard(self.carry_out, action)
 
     def carry_out(self, action: own.Action) -> None:
@@ -175,9 +184,9 @@
                     self.list_due = set_now
             case own.Refuse():
                 line = b"BUSY %d\r\n" % (action.come_back // 10) if action.come_back else b"BUSY\r\n"
-                self.answer(action.sess, line)
+                self.answer(action.sess, line, action.reason)
             case own.TearDown():
-                self.answer(action.sess, b"ERR no server\r\n")
+                self.answer(action.sess, b"ERR no server\r\n", action.reason)
             case own.Move():
                 client = self.clients.get(action.sess)
                 if client is not None:
@@ -187,10 +196,10 @@
             case own.Log():
                 self.log("mode", text=action.text)
 
-    def answer(self, sess: int, line: bytes) -> None:
+    def answer(self, sess: int, line: bytes, reason: own.Reason) -> None:
         client = self.let_go(sess)
         if client is not None:
-            self.log("answer", sess=sess, line=line.decode().strip())
+            self.log("answer", sess=sess, line=line.decode().strip(), why=reason)
             client.answer(line, Ending.ANSWERED)
 
     # Sessions
@@ -337,7 +346,14 @@
         client.dial = None
         if client.sess not in self.clients:
             return
-        self.log("dial", sess=client.sess, server=dial.server, ending=ending.name, sent=dial.sent)
+        self.log(
+            "dial",
+            sess=client.sess,
+            server=dial.server,
+            ending=ending.name,
+            sent=dial.sent,
+            took=self.loop.now() - dial.began,
+        )
         outcome = OUTCOMES[ending]
         if client.fixed >= 0:
             if outcome in own.NEVER_RAN and self.loop.now() + FIXED_PAUSE < client.fixed_until:
@@ -397,6 +413,9 @@
     def look_round(self) -> None:
         """Tells of slow messages, from answers and what is still unanswered, and once when that is over."""
         self.loop.after(LOOK_EVERY, self.look_round)
+        if self.loop.longest_turn >= LONG_TURN:
+            self.log("long_turn", took=self.loop.longest_turn)
+        self.loop.longest_turn = 0
         now = self.loop.now()
         for index, server in list(self.in_use.items()):
             if not (server.standing or server.delays):
--- a/thymedeck/policy/balancer.py
+++ b/thymedeck/policy/balancer.py
@@ -30,6 +30,7 @@
     Outcome,
     Probe,
     Probed,
+    Reason,
     Refuse,
     Scope,
     ServerList,
@@ -391,9 +392,10 @@
         """Dials the best server, or gives the final answer at once when no dial can help."""
         left = sess.deadline - self.now
         if self.storm and (self.setting_up >= self.room or self.now < self.pause_until):
-            self.give_up(index, sess)
+            self.give_up(index, sess, Reason.PACED)
             return
-        if sess.dials < self.site.max_dials and left > 2 * self.site.tick and self.may_repeat(sess):
+        reason = self.why_no_dial(sess, left)
+        if reason is None:
             server = None
             if sess.asked < ASKS and not self.is_crowded_out():
                 server = self.pick(sess)
@@ -406,11 +408,20 @@
                 else:
                     self.dial(index, sess, server)
                 return
+            reason = Reason.FULL if self.candidates.ready else Reason.NO_SERVER
             if self.candidates.ready:
                 if self.now - self.crowd_at > LOG_PAUSE:
                     self.log(f"no room: {self.full_share:.2f} of the servers heard of at their cap; refusing")
                 self.crowd_at = self.now
-        self.give_up(index, sess)
+        self.give_up(index, sess, reason)
+
+    def why_no_dial(self, sess: Session, left: int) -> Reason | None:
+        """What forbids one more dial, whatever the servers."""
+        if sess.dials >= self.site.max_dials:
+            return Reason.DIALS_USED
+        if left <= 2 * self.site.tick:
+            return Reason.TIME_UP
+        return None if self.may_repeat(sess) else Reason.MAY_HAVE_RUN
 
     def is_unknown(self, server: Server) -> bool:
         """Whether asking could help: no report that tells, and no question just left unanswered."""
@@ -454,7 +465,7 @@
             self.set_up_went(server, False)
         sess.erred = []
 
-    def give_up(self, index: int, sess: Session) -> None:
+    def give_up(self, index: int, sess: Session, reason: Reason) -> None:
         if len(set(sess.erred)) == 1:
             # Of several none is blamed: guards against a line that no server can use, taken for their fault.
             self.blame(sess)
@@ -466,9 +477,9 @@
         )
         if harmless:
             most = self.site.come_back_max
-            self.out.append(Refuse(index, int(self.uniform(most / 4, most)) if most else 0))
+            self.out.append(Refuse(index, int(self.uniform(most / 4, most)) if most else 0, reason))
         else:
-            self.out.append(TearDown(index))
+            self.out.append(TearDown(index, reason))
         del self.sessions[index]
 
     def dial(self, index: int, sess: Session, server: Server) -> None:
