A long list is told to the decisions in parts of a turn, what drains or is gone at once

Callers of a balancer on a small share of a core would wait while one turn takes a list in: with 3,200 entries that are all new or restarted 76 ms of a whole core, and what waits meanwhile counts against requests that may have 0.3 s. Cause, of the same class: the work of a turn grew with the list. Now only what a list says anew is told, 256 entries a turn, each as it was listed last; servers that get nothing new are told at once, before all others. A whole list reaches the decisions as its changes.

--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -6,7 +6,8 @@
 import resource
 import signal
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Set
+from itertools import islice
 
 import msgspec
 from msgspec.structs import replace
@@ -22,7 +23,18 @@
 from .serverlist import Follower
 from .servers import Dialled, Known
 from .system import System
-from .told import UNREADABLE, Listing, Start, StartError, Told, name_of, read_again, server_address, usable
+from .told import (
+    UNREADABLE,
+    Listing,
+    Row,
+    Start,
+    StartError,
+    Told,
+    name_of,
+    read_again,
+    server_address,
+    usable,
+)
 
 SECOND = 10_000
 STATES = {"SERVING": own.State.READY, "DRAINING": own.State.DRAINING, "DELETED": own.State.GONE}
@@ -32,6 +44,7 @@
 MOST_LOAD = 1e12  # a figure beyond this, or none at all, is no load
 DRAIN_WITHIN = SECOND  # within which the sessions of a server that drains are moved
 LOOK_EVERY = SECOND // 2  # at the standing sessions of each server
+TOLD_AT_ONCE = 256  # entries of a list, in one turn
 LONG_TURN = SECOND // 10  # of the loop, and LONG_DECISION: both are logged, as all else waits meanwhile
 LONG_DECISION = SECOND // 20
 SILENT = 3 * SECOND  # a line that nothing has come back for so long tells of a connection that is dead
@@ -110,6 +123,7 @@
         self.since_unix = self.loop.now() - system.time_ns() // 100_000
         self.server_index: dict[str, int] = {}
         self.servers: list[Known] = []
+        self.untold: dict[int, tuple[Row | None, own.ListKind]] = {}  # listed, and still to be told
         self.in_use: dict[int, Known] = {}  # those with sessions, or with delays not told yet
         self.clients: dict[int, Client] = {}
         self.idents: set[bytes] = set()  # of these
@@ -258,6 +272,8 @@
             if server is None:
                 client.answer(b"ERR no such server\r\n", Ending.ANSWERED)
                 return
+            if server in self.untold:
+                self.tell_of([server])
             self.hold(client)
             client.fixed = server
             client.fixed_until = self.loop.now() + FIXED_WITHIN
@@ -448,41 +464,73 @@
         self.take_list(listing, kind)
 
     def take_list(self, listing: Listing, kind: own.ListKind) -> None:
-        entries = []
-        changed = 0
+        rows: dict[
+            int, Row | None
+        ] = {}  # of servers of which something is new; None: left out of a whole list
+        named: dict[int, own.Entry] = {}
         for raw in listing.servers:
-            index, entry = self.read_entry(raw)
+            index, entry, row = self.read_entry(raw)
             if entry is None:
                 continue
-            entries.append(entry)
+            named[index] = entry
             known = self.servers[index]
             if entry.state is not own.State.READY and kind is not own.ListKind.SAVED:
                 self.drains(index)
             if entry != known.entry:
                 known.entry = entry
-                changed += 1
-                self.log_listed(raw, index, kind)
+                rows[index] = row
         if kind is own.ListKind.WHOLE:
-            self.drop_unlisted({entry.server for entry in entries})
-        self.log("list_taken", kind=kind.name, servers=len(entries), changed=changed)
-        self.tell(own.ServerList(kind, entries))
-
-    def read_entry(self, raw: msgspec.Raw) -> tuple[int, own.Entry | None]:
-        """A server's index and entry; None where nothing of it can be used."""
+            rows |= dict.fromkeys(self.drop_unlisted(named.keys()))
+        self.log("list_taken", kind=kind.name, servers=len(named), changed=len(rows))
+        if kind is own.ListKind.SAVED:
+            self.log_listed(rows, kind)
+            self.tell(own.ServerList(kind, list(named.values())))
+        else:
+            self.tell_changes(rows, kind)
+
+    def tell_changes(self, rows: dict[int, Row | None], kind: own.ListKind) -> None:
+        """Servers that get nothing new are told at once, the others so many a turn.
+
+        Guards against a long list that holds up all else.
+        """
+        was_waiting = bool(self.untold)
+        not_ready = []
+        for at, row in rows.items():
+            self.untold[at] = (row, kind)
+            if self.servers[at].entry.state is not own.State.READY:
+                not_ready.append(at)
+        self.tell_of(not_ready)
+        if not was_waiting:
+            self.tell_some()
+
+    def tell_some(self) -> None:
+        self.tell_of(list(islice(self.untold, TOLD_AT_ONCE)))
+        if self.untold:
+            self.loop.after(0, self.tell_some)
+
+    def tell_of(self, indexes: list[int]) -> None:
+        """Each as it was listed last, which may be later than it was put off."""
+        for index in indexes:
+            row, kind = self.untold.pop(index)
+            self.log_listed({index: row}, kind)
+        self.tell(own.ServerList(own.ListKind.CHANGES, [self.servers[at].entry for at in indexes]))
+
+    def read_entry(self, raw: msgspec.Raw) -> tuple[int, own.Entry | None, Row | None]:
+        """A server's index, its entry, and how that was spelt; no entry where nothing of it can be used."""
         try:
             row = usable(raw)
         except UNREADABLE as why:
             # Guards against one bad entry that spoils the list: the rest is used, it stays as it was.
             self.log("bad_entry", why=str(why), entry=bytes(raw)[:200].decode("latin-1"))
             index = self.server_index.get(name_of(raw), -1)
-            return index, self.servers[index].entry if index >= 0 else None
+            return index, self.servers[index].entry if index >= 0 else None, None
         index = self.server_index.get(row.id)
         try:
             place = server_address(row.addr)
         except ValueError:
             if index is None:
                 self.log("bad_address", server=row.id, address=row.addr)
-                return -1, None
+                return -1, None, row
             place = self.servers[index].address
         if index is None:
             index = self.server_index[row.id] = len(self.servers)
@@ -492,19 +540,28 @@
         started = max(int(row.started_ms * 10) + self.since_unix, 1) if row.started_ms > 0 else 0
         weight = max(row.weight, LEAST_WEIGHT)
         zone, machine = self.zones.get(row.zone, -1), self.kinds.get(row.kind, -1)
-        return index, own.Entry(index, zone, row.cell, state, started, weight, machine)
-
-    def log_listed(self, raw: msgspec.Raw, index: int, kind: own.ListKind) -> None:
-        row = usable(raw)
-        more = {"zone": row.zone, "machine": row.kind, "state": row.state, "started_ms": row.started_ms}
-        self.log("listed", kind=kind.name, server=index, id=row.id, **more)
-
-    def drop_unlisted(self, named: set[int]) -> None:
-        """What a whole list leaves out is gone."""
+        return index, own.Entry(index, zone, row.cell, state, started, weight, machine), row
+
+    def log_listed(self, rows: dict[int, Row | None], kind: own.ListKind) -> None:
+        for index, row in rows.items():
+            if row is not None:
+                more = {
+                    "zone": row.zone,
+                    "machine": row.kind,
+                    "state": row.state,
+                    "started_ms": row.started_ms,
+                }
+                self.log("listed", kind=kind.name, server=index, id=row.id, **more)
+
+    def drop_unlisted(self, named: Set[int]) -> list[int]:
+        """What a whole list leaves out is gone; returns what was there before."""
+        gone = []
         for index, known in enumerate(self.servers):
             if index not in named and known.entry.state is not own.State.GONE:
                 known.entry = replace(known.entry, state=own.State.GONE)
                 self.drains(index)
+                gone.append(index)
+        return gone
 
     def drains(self, index: int) -> None:
         """Guards against sessions cut off when their server goes: what still stands there is moved before."""
