--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -105,6 +105,11 @@
     return told.limits.sockets if granted == resource.RLIM_INFINITY else min(granted, told.limits.sockets)
 
 
+def is_news(before: own.Entry | None, entry: own.Entry) -> bool:
+    """Whether more than the weight has changed, which a list may renew for all its servers each second."""
+    return before is None or replace(before, weight=entry.weight) != entry
+
+
 class Service:
     def __init__(self, start: Start, system: System) -> None:
         told = start.told
@@ -464,9 +469,7 @@
         self.take_list(listing, kind)
 
     def take_list(self, listing: Listing, kind: own.ListKind) -> None:
-        rows: dict[
-            int, Row | None
-        ] = {}  # of servers of which something is new; None: left out of a whole list
+        rows: dict[int, Row | None] = {}  # of servers that are new or changed; None: not to be logged
         named: dict[int, own.Entry] = {}
         for raw in listing.servers:
             index, entry, row = self.read_entry(raw)
@@ -477,8 +480,8 @@
             if entry.state is not own.State.READY and kind is not own.ListKind.SAVED:
                 self.drains(index)
             if entry != known.entry:
+                rows[index] = row if is_news(known.entry, entry) else None
                 known.entry = entry
-                rows[index] = row
         if kind is own.ListKind.WHOLE:
             rows |= dict.fromkeys(self.drop_unlisted(named.keys()))
         self.log("list_taken", kind=kind.name, servers=len(named), changed=len(rows))
@@ -499,9 +502,10 @@
             self.untold[at] = (row, kind)
             if self.servers[at].entry.state is not own.State.READY:
                 not_ready.append(at)
-        self.tell_of(not_ready)
-        if not was_waiting:
-            self.tell_some()
+        if not_ready:
+            self.tell_of(not_ready)
+        if not was_waiting and (self.untold or not not_ready):
+            self.tell_some()  # also where nothing is new: the list can be had
 
     def tell_some(self) -> None:
         self.tell_of(list(islice(self.untold, TOLD_AT_ONCE)))
--- a/thymedeck/policy/balancer.py
+++ b/thymedeck/policy/balancer.py
@@ -67,6 +67,7 @@
 MOST_MOVED = 0.5  # of the own sum that these steps come to: the next note may tell that it was enough
 LOOK_EVERY = SECOND  # full servers are counted again after this; notes come as often
 RELIEF_PAUSE = 3 * SECOND  # until a report shows what the last moves brought
+SETTLE_EVERY = SECOND // 10
 LIST_PART = 0.005  # of the time within which the list is to be asked, left to each balancer's call
 LEAST_PULL = 1e-6  # so that ties without newcomers have a chance
 MOST_SPREAD = 0.4  # of that time, over all of them: a call that fails then still leaves time for another
@@ -179,6 +180,7 @@
         self.out: list[Action] = []
         self.servers: dict[int, Server] = {}
         self.candidates = Candidates(deployment.warm_after, max(deployment.fall_window, BLIND_FOR))
+        self.settled_at = 0  # when active servers were last looked at for idle ones
         self.listed = 0  # servers on the list, in whatever state
         self.most_listed = 0  # servers on the list at once
         self.sessions: dict[int, Session] = {}
@@ -605,7 +607,9 @@
         """Brings what is idle up to date, and takes out of it what this session can't be sent to alike."""
         candidates = self.candidates
         candidates.advance(self.now)
-        candidates.settle(self.now, list(candidates.active.values()))
+        if self.now - self.settled_at >= SETTLE_EVERY:
+            self.settled_at = self.now
+            candidates.settle(self.now, list(candidates.active.values()))
         for index in sess.tried:
             candidates.activate(self.servers[index])
         if self.keeps_to_cell(sess):
