Budgets of cold servers go by the whole list while it is told in parts; a cut-off move has its own ending

A new list told in parts would have promised each server more than its share until the last part, for some turns of the loop: what the members' shares promise is divided by the servers listed at once. The parts now tell how many the whole list has. Found by reading; test_all_that_a_new_list_names_counts_from_its_first_part_on and the test of parts fail without it.

--- a/thymedeck/interface.py
+++ b/thymedeck/interface.py
@@ -121,6 +121,7 @@
     entries: list[Entry]
     out: int = 0  # FAILED: for how long the call was out; 0 for a watch, which was told all until it broke
     in_turn: bool = False  # FAILED: the call went out by `FollowList`, and not as others did in that moment
+    listed: int = 0  # servers on the list, where some of them are still to be told
 
 
 class SessionCame(Struct):
--- a/thymedeck/net/clients.py
+++ b/thymedeck/net/clients.py
@@ -202,7 +202,7 @@
         return self.dial.lines.between and self.outbound.put(b"MOVE\r\n")
 
     def move_overdue(self) -> None:
-        self.finish(Ending.MOVED)
+        self.finish(Ending.MOVE_OVERDUE)
 
     def server_ended(self, word: Ending) -> None:
         """The server has ended its sending, so do we once all is passed on."""
--- a/thymedeck/net/endings.py
+++ b/thymedeck/net/endings.py
@@ -21,6 +21,7 @@
     SERVER_ENDED = auto()  # its server ended it and said nothing
     SERVER_BROKE = auto()
     MOVED = auto()  # by us
+    MOVE_OVERDUE = auto()  # cut off: its server's line did not end, so that MOVE could not be said
     # Of the client's side
     CLIENT_LEFT = auto()
     CLIENT_BROKE = auto()
@@ -45,6 +46,7 @@
     Ending.SERVER_ENDED: Outcome.RESET,
     Ending.SERVER_BROKE: Outcome.RESET,
     Ending.MOVED: Outcome.CANCELLED,
+    Ending.MOVE_OVERDUE: Outcome.CANCELLED,
     Ending.CLIENT_LEFT: Outcome.CANCELLED,
     Ending.CLIENT_BROKE: Outcome.CANCELLED,
     Ending.ANSWERED: Outcome.CANCELLED,
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -517,7 +517,14 @@
         for index in indexes:
             row, kind = self.untold.pop(index)
             self.log_listed({index: row}, kind)
-        self.tell(own.ServerList(own.ListKind.CHANGES, [self.servers[at].entry for at in indexes]))
+        entries = [self.servers[at].entry for at in indexes]
+        self.tell(
+            own.ServerList(own.ListKind.CHANGES, entries, listed=self.count_listed() if self.untold else 0)
+        )
+
+    def count_listed(self) -> int:
+        """Guards against a budget for each server that is taken from a part of the list."""
+        return sum(known.entry.state is not own.State.GONE for known in self.servers)
 
     def read_entry(self, raw: msgspec.Raw) -> tuple[int, own.Entry | None, Row | None]:
         """A server's index, its entry, and how that was spelt; no entry where nothing of it can be used."""
--- a/thymedeck/policy/balancer.py
+++ b/thymedeck/policy/balancer.py
@@ -249,7 +249,7 @@
         self.candidates.settle(self.now, list(self.candidates.active.values()))
         if changed or event.kind is not ListKind.CHANGES:
             self.kinds_at = -LOOK_EVERY - 1  # guards against a draw among kinds not looked at yet
-            self.most_listed = max(self.most_listed, self.listed)
+            self.most_listed = max(self.most_listed, self.listed, event.listed)
 
     def take_entry(self, entry: Entry, known: list[Server]) -> bool:
         """Whether more than the weight is new."""
