--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -72,3 +72,11 @@
             client.close()
         for sock in waiting:
             sock.close()
+
+
+def test_a_list_with_nothing_new_is_told_too(service: Service) -> None:
+    """Guards against a list that stays lost to the decisions when it is back with nothing new."""
+    listing = decode(f'{{"version":1,"full":true,"servers":[{GOOD}]}}')
+    for _ in range(2):
+        service.take_list(listing, own.ListKind.WHOLE)
+    assert [len(event.entries) for event in service.told] == [1, 0]
--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -187,3 +187,23 @@
             assert abs(drawn[at] / rounds - share) < 5 * (share * (1 - share) / rounds) ** 0.5 + 1e-9
         assert group.weight == pytest.approx(sum(left))
         group.remove(next(one for one in group.members if one.index == start))
+
+
+# Guards against cold servers with room being drawn without regard to weights and kinds of machine.
+def test_cold_servers_are_drawn_by_weight_and_kind() -> None:
+    site = replace(SITE, replicas=1, promised=1e6)
+    balancer = Balancer(1, site)
+    now = 100 * SECOND
+    weights = {0: 1.0, 1: 3.0, 2: 1.0}
+    drawn: Counter[int] = Counter()
+    rounds = 3000
+    for sess in range(rounds):
+        now += site.fall_window + 1
+        cold = [own.Entry(at, 0, 0, own.State.READY, now, weights[at], kind=at // 2) for at in weights]
+        balancer.handle(now, own.ServerList(own.ListKind.WHOLE, cold))
+        (dial,) = balancer.handle(now, own.SessionCame(sess, 0, DEADLINE, 1.0, None, False))
+        drawn[dial.server] += 1
+        balancer.handle(now, own.DialEnded(sess, dial.server, own.Outcome.ENDED, True, None))
+    # Two of three servers are of the first kind, and a quarter of its weight is the first one's.
+    for at, share in {0: 2 / 3 / 4, 1: 2 / 3 * 3 / 4, 2: 1 / 3}.items():
+        assert abs(drawn[at] / rounds - share) < 5 * (share * (1 - share) / rounds) ** 0.5, drawn
