--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -207,3 +207,27 @@
     # Two of three servers are of the first kind, and a quarter of its weight is the first one's.
     for at, share in {0: 2 / 3 / 4, 1: 2 / 3 * 3 / 4, 2: 1 / 3}.items():
         assert abs(drawn[at] / rounds - share) < 5 * (share * (1 - share) / rounds) ** 0.5, drawn
+
+
+# Guards against a zone that is cut off being kept in use, as if the fault were the balancer's own.
+def test_another_zone_is_taken_out_while_the_own_one_is_well() -> None:
+    balancer = Balancer(1, SITE)
+    listed = [own.Entry(at, int(at > 0), 0, own.State.READY, 0) for at in range(4)]
+    balancer.handle(SECOND, own.ServerList(own.ListKind.SAVED, listed))
+    for at in (1, 2, 3):
+        for _ in range(2):
+            balancer.set_up_went(balancer.servers[at], False)
+    assert [one.index for one in balancer.servers.values() if one.sick] == [1, 2, 3]
+    assert not balancer.doubt
+
+
+def test_a_server_that_holds_nothing_has_the_sum_zero_whatever_the_rounding() -> None:
+    balancer = Balancer(1, SITE)
+    balancer.handle(SECOND, own.ServerList(own.ListKind.SAVED, [own.Entry(0, 0, 0, own.State.READY, 0)]))
+    loads = [0.1, 0.2, 0.3, 0.7]
+    for sess, load in enumerate(loads):
+        balancer.handle(SECOND, own.SessionStands(sess, 0, None, None, 0))
+        balancer.handle(SECOND, own.LoadTold(sess, load))
+    for sess in range(len(loads)):
+        balancer.handle(SECOND, own.DialEnded(sess, 0, own.Outcome.ENDED, True, None))
+    assert balancer.servers[0].told == 0.0
