--- a/review/rig.py
+++ b/review/rig.py
@@ -224,7 +224,7 @@
         self.process = subprocess.Popen(
             ["/bin/sh", "-c", command],
             cwd=ROOT,
-            env=os.environ | variables,
+            env={name: value for name, value in os.environ.items() if name != "PYTHONPATH"} | variables,
             stdin=subprocess.DEVNULL,
             stdout=self.log,
             stderr=subprocess.STDOUT,
