Log a session that is cut off without MOVE, and what kept MOVE from being sent

Hypotheses that could not be told apart: the server's line never ends where the balancer looks; the client does not read, so that nothing fits behind; the move was never begun; MOVE was sent and a reset overtook it.

A line `cut_off` now tells whether the move was under way, how many bytes of an unfinished line were read and how many bytes are unsent.

--- a/thymedeck/net/clients.py
+++ b/thymedeck/net/clients.py
@@ -216,6 +216,7 @@
         return self.dial.line_splitter.is_at_line_boundary and self.outbound.append(b"MOVE\r\n")
 
     def on_move_timeout(self) -> None:
+        self.service.log_cut_off(self)
         self.finish(Ending.MOVE_OVERDUE)
 
     def on_server_eof(self, ending: Ending) -> None:
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -730,4 +730,19 @@
         if self.connections and self.loop.now() < self.stop_deadline:
             self.loop.after(200, self.stop_when_empty)
         else:
+            for client in self.sessions.values():
+                if client.is_established:
+                    self.log_cut_off(client)
             self.loop.stop()
+
+    def log_cut_off(self, client: Client) -> None:
+        """Logs that a session ends without MOVE, and what kept MOVE from being sent."""
+        unfinished = len(client.dial.line_splitter.partial)
+        self.log(
+            "cut_off",
+            sess=client.session_id,
+            server=client.dial.server,
+            moving=client.is_moving,
+            unfinished=unfinished,
+            unsent=client.outbound.used,
+        )
