Send MOVE between two lines wherever the pieces of a server's lines end

On a drain they ended as MOVE_OVERDUE, at a server's break with half a line and a reset.

Cause: MOVE was sent only when all that had been read ended with a line (Client.try_send_move, asked when the move began and when the output had just been flushed). What is read ends where the socket is empty; with pieces that is always within a line, whose first half the client already had.

Change: a line that has only begun stays in the ring until it ends, 0.9 s at most, so the client has whole lines; MOVE goes behind the last line end that was read. A move waits for the line that has begun; MOVE takes its place only where the end can't be awaited (no time left at the stop, the server ended or broke, 3 s over). The ring keeps room for MOVE; a client that reads slowly has 3 s for what lies before it, as before.

No existing expectation changed; receive_filler waits 0.03 s for each of its 20 idle looks, as small windows pause.

--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -4,6 +4,8 @@
 sends has arrived before the loop runs again. Steps are those of SocketScenario, and:
 
     client N enters_backlog  connects and is not accepted yet; `connects` and `opens` run until accepted
+    client N small_buffers   the system buffers little on the way to that client
+    client N receives TEXT   exactly these bytes arrive, which need not be a whole line
     client N readable        what that client did (data, end of stream, reset) can be read by the service
     server N accepts [A]     a dial is connected, which the service has not noticed yet
     server N reads N2        the line of that dial arrives, for the session of client N2
@@ -58,6 +60,8 @@
 
 FILLER_LINE = b"x" * 98 + b"\r\n"
 STEP_MS = 10  # of `advance`
+IDLE_SECONDS = 0.03  # without filler, in real time; 20 in a row outlast the pauses of TCP with small windows
+SMALL_BUFFER = 1 << 15  # bytes, of a socket with `small_buffers`
 EXIT_TIMEOUT_MS = 10_000
 
 
@@ -124,6 +128,14 @@
         line, _, self.buffer = self.buffer.partition(b"\r\n")
         return line.decode()
 
+    def receive_bytes(self, expected: bytes) -> None:
+        """Asserts that exactly these bytes arrive; the service runs no further than that takes."""
+        while len(self.buffer) < len(expected):
+            self.run_until(lambda: select.select([self.sock], [], [], 0)[0], f"only {self.buffer!r} received")
+            self.buffer += self.sock.recv(65536)
+        assert self.buffer == expected, self.buffer
+        self.buffer = b""
+
 
 class SteppedScenario(SocketScenario):
     """Runs the service in this process, with its loop and clock under the control of the steps."""
@@ -304,6 +316,13 @@
                 self.service_connections[id(peer)] = self.service_connection_of(peer.sock)
             if verb == "opens":
                 peer.perform("says", f"OPEN id{name} key{name} {text}")
+        elif verb == "small_buffers":
+            peer = self.clients[name]
+            peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+            service_sock = self.service_connections[id(peer)].sock
+            service_sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER)
+        elif verb == "receives":
+            self.clients[name].receive_bytes(text.encode().decode("unicode_escape").encode())
         elif verb == "readable":
             self.wait_readable(self.service_connections[id(self.clients[name])])
         elif verb == "reads_filler":
@@ -383,7 +402,7 @@
                 self.send_filler(server)
             self.run_iteration()
             idle += 1
-            if select.select([client.sock], [], [], 0)[0]:
+            if select.select([client.sock], [], [], IDLE_SECONDS)[0]:
                 received = client.sock.recv(1 << 20)
                 client.buffer = (client.buffer + received).replace(FILLER_LINE, b"")
                 idle = idle if b"\n" in client.buffer or not received else 0
--- a/thymedeck/net/clients.py
+++ b/thymedeck/net/clients.py
@@ -21,6 +21,7 @@
 ACCEPT_PAUSE = 500  # without accepting, after the process ran out of descriptors
 LINGER_TIMEOUT = 10_000  # for the client to read the last bytes
 MALFORMED_LINGER_TIMEOUT = 3_000  # the same for a peer that speaks another protocol
+UNSENT_TIMEOUT = 30_000  # for the client to take what is still to be sent when its session has ended
 HALF_CLOSE_TIMEOUT = 50_000  # for the remaining direction of a half-closed connection
 # For the server's unfinished line to end before MOVE; as long as SILENCE_TIMEOUT allows a silent server.
 MOVE_TIMEOUT = 30_000
@@ -193,34 +194,62 @@
             self.service.add_delay_sample(self.dial.server, self.loop.now() - self.unanswered_since)
         self.unanswered_since = -1
 
+    def on_server_data(self, has_line_ended: bool) -> None:
+        """Passes on what was read from the server, with MOVE, if it is due, behind the last line end."""
+        if self.is_moving and has_line_ended:
+            self.complete_move()
+        self.flush()
+
     def on_output_flushed(self) -> None:
-        if self.is_moving:
-            self.move()
+        if self.is_finished and self.received_eof:
+            self.close_both()
+        elif self.is_finished:
+            self.start_linger()
         elif self.is_established:
             self.close_if_complete()
 
-    def move(self) -> None:
-        """Asks the client to reconnect: sends MOVE between two lines of the server and ends both sides."""
+    def move(self, at_once: bool = False) -> None:
+        """Asks the client to reconnect: sends MOVE between two lines of the server and ends both sides.
+
+        A line that the server has begun is awaited and passed on first. `at_once` drops it, if no part of it
+        was passed on.
+        """
         if self.is_finished or not self.is_established:
             return
         if not self.is_moving:
             self.is_moving = True
             self.timer.cancel()
             self.timer = self.loop.after(MOVE_TIMEOUT, self.on_move_timeout)
+        if at_once or not self.dial.line_splitter.partial_length:
+            self.complete_move()
+
+    def complete_move(self) -> None:
         if self.try_send_move():
             self.is_moving = False
             self.dial.discards_input = True  # the shared buffer takes nothing more from the server
+            self.flush()
             self.finish(Ending.MOVED, linger=True)
 
     def try_send_move(self) -> bool:
-        return self.dial.line_splitter.is_at_line_boundary and self.outbound.append(b"MOVE\r\n")
+        """Puts MOVE behind the server's last whole line; fails if part of the next line was sent already."""
+        unfinished = self.dial.line_splitter.partial_length
+        if unfinished > self.outbound.used:
+            return False
+        self.outbound.drop_last(unfinished)
+        return self.outbound.append(b"MOVE\r\n")
 
     def on_move_timeout(self) -> None:
-        self.service.log_cut_off(self)
-        self.finish(Ending.MOVE_OVERDUE)
+        self.complete_move()
+        if not self.is_finished:
+            self.service.log_cut_off(self)
+            self.finish(Ending.MOVE_OVERDUE)
 
     def on_server_eof(self, ending: Ending) -> None:
         """The server has half-closed; the client's side follows once all bytes are passed on."""
+        if self.is_moving:
+            self.complete_move()  # the line that the move waited for will not end
+        if self.is_finished:
+            return
         self.service.on_session_ended(self, ending)
         self.shutdown_write()
         self.start_half_close()
@@ -246,12 +275,14 @@
         if ending is Ending.SERVER_BROKE and self.try_send_move():
             self.finish(ending, linger=True)
         else:
+            self.outbound.held = 0
             self.flush()
             self.close_both(reset=True)
 
     def on_eof(self) -> None:
         if self.is_finished:
-            self.close_both()
+            if not self.outbound.used:
+                self.close_both()
         elif not self.is_established:
             self.finish(Ending.CLIENT_LEFT)
         else:
@@ -287,14 +318,21 @@
             # A peer that speaks another protocol may keep sending at full speed: it is not read at all.
             self.reading_disabled = ending is Ending.MALFORMED
             self.partner = None
-            self.service.evictable[self] = None
-            self.timer = self.loop.after(
-                MALFORMED_LINGER_TIMEOUT if self.reading_disabled else LINGER_TIMEOUT, self.close
-            )
+            self.start_linger()
             self.shutdown_write()
         else:
             self.close()
 
+    def start_linger(self) -> None:
+        """Leaves the client time to read the last bytes; it may be evicted once all is sent."""
+        self.timer.cancel()
+        if self.outbound.used:
+            timeout = UNSENT_TIMEOUT
+        else:
+            timeout = MALFORMED_LINGER_TIMEOUT if self.reading_disabled else LINGER_TIMEOUT
+            self.service.evictable[self] = None
+        self.timer = self.loop.after(timeout, self.close)
+
     def close(self, reset: bool = False) -> None:
         self.timer.cancel()
         self.service.evictable.pop(self, None)
--- a/thymedeck/net/connection.py
+++ b/thymedeck/net/connection.py
@@ -60,7 +60,7 @@
         self.on_connection_lost()
 
     def on_output_flushed(self) -> None:
-        """All pending output has been written."""
+        """All pending output has been written, but for what is held."""
 
     # Called by the event loop
 
@@ -81,7 +81,7 @@
         try:
             if self.discards_input:
                 count = len(self.sock.recv(65536))
-            elif not self.inbound.free_space:
+            elif self.inbound.receive_space <= 0:
                 return False
             else:
                 count = self.inbound.receive_from(self.sock)
@@ -105,14 +105,14 @@
             return
         written = 0
         try:
-            while self.outbound.used and not self.shutdown_sent:
+            while self.outbound.sendable and not self.shutdown_sent:
                 written += self.outbound.send_to(self.sock)
         except (BlockingIOError, InterruptedError):
             pass
         except OSError:
             self.on_write_error()
             return
-        if not self.outbound.used:
+        if not self.outbound.sendable:
             if self.shutdown_requested and not self.shutdown_sent:
                 self.shutdown_sent = True
                 try:
@@ -131,10 +131,10 @@
         if not self.is_open:
             return
         mask = 0
-        if self.connecting or (self.outbound.used and not self.shutdown_sent):
+        if self.connecting or (self.outbound.sendable and not self.shutdown_sent):
             mask |= WRITE
         if not (self.connecting or self.received_eof or self.reading_disabled) and (
-            self.discards_input or self.inbound.free_space
+            self.discards_input or self.inbound.receive_space > 0
         ):
             mask |= READ
         self.loop.watch(self.sock, self.mask, mask, self)
@@ -145,6 +145,8 @@
         self.flush()
 
     def shutdown_write(self) -> None:
+        """Ends the sending side once all pending output, held or not, is written."""
+        self.outbound.held = 0
         self.shutdown_requested = True
         self.flush()
 
--- a/thymedeck/net/lines.py
+++ b/thymedeck/net/lines.py
@@ -29,23 +29,22 @@
 
 
 class LineSplitter:
-    """Splits relayed bytes into lines without holding them back."""
+    """Splits relayed bytes into lines; the bytes themselves stay where they are."""
 
-    __slots__ = ("partial",)
+    __slots__ = ("partial", "partial_length")
 
     def __init__(self) -> None:
         self.partial = b""  # the current line so far
+        self.partial_length = 0  # its length, also where it is overlong and only its last part is kept
 
     def feed(self, data: bytes) -> Iterator[bytes]:
         """Yields the lines that end within these bytes; of an overlong line only the last part is kept."""
         if b"\n" not in data:
             self.partial = (self.partial + data)[-MAX_LINE_LENGTH:]
+            self.partial_length += len(data)
             return
         *lines, rest = (self.partial + data).split(b"\n")
         self.partial = rest[-MAX_LINE_LENGTH:]
+        self.partial_length = len(rest)
         for line in lines:
             yield line.rstrip(b"\r")
-
-    @property
-    def is_at_line_boundary(self) -> bool:
-        return not self.partial
--- a/thymedeck/net/ring.py
+++ b/thymedeck/net/ring.py
@@ -3,21 +3,33 @@
 import socket
 
 DEFAULT_SIZE = 8192  # two of the longest lines; small, as every connection has one per direction
+# `receive_from` leaves this many bytes free, so that a short line can always be appended.
+APPEND_RESERVE = 16
 
 
 class RingBuffer:
-    __slots__ = ("start_position", "used", "size", "memory")
+    __slots__ = ("start_position", "used", "held", "size", "memory")
 
     def __init__(self, size: int = DEFAULT_SIZE) -> None:
         self.size = size
         self.memory: memoryview | None = None  # allocated on first use: many peers never send anything
         self.start_position = 0
         self.used = 0
+        self.held = 0  # bytes at the end that `send_to` does not send yet
 
     @property
     def free_space(self) -> int:
         return self.size - self.used
 
+    @property
+    def receive_space(self) -> int:
+        """The number of bytes that `receive_from` may read; not positive: none."""
+        return self.size - self.used - APPEND_RESERVE
+
+    @property
+    def sendable(self) -> int:
+        return self.used - self.held
+
     def segments(self, start: int, length: int) -> list[memoryview]:
         """The one or two segments that hold `length` bytes from `start` on."""
         if self.memory is None:
@@ -29,13 +41,13 @@
         return [self.memory[start:], self.memory[: end - self.size]]
 
     def receive_from(self, sock: socket.socket) -> int:
-        """Reads as much as fits; returns the number of bytes, 0 at the end of the stream."""
-        received = sock.recvmsg_into(self.segments(self.start_position + self.used, self.free_space))[0]
+        """Reads up to `receive_space` bytes; returns the number of bytes, 0 at the end of the stream."""
+        received = sock.recvmsg_into(self.segments(self.start_position + self.used, self.receive_space))[0]
         self.used += received
         return received
 
     def send_to(self, sock: socket.socket) -> int:
-        sent = sock.sendmsg(self.segments(self.start_position, self.used))
+        sent = sock.sendmsg(self.segments(self.start_position, self.sendable))
         self.discard(sent)
         return sent
 
@@ -62,6 +74,11 @@
     def peek_last(self, length: int) -> bytes:
         return self.peek(self.used - length, length)
 
+    def drop_last(self, length: int) -> None:
+        """Removes the last bytes, those held among them; `length` is at least `held`."""
+        self.used -= length
+        self.held = 0
+
     def discard(self, length: int) -> None:
         self.start_position = (self.start_position + length) % self.size
         self.used -= length
--- a/thymedeck/net/servers.py
+++ b/thymedeck/net/servers.py
@@ -5,7 +5,7 @@
 from ..interface import ServerEntry
 from .connection import Connection
 from .endings import Ending
-from .lines import LineSplitter, LineTooLong, is_printable_word, peek_line
+from .lines import MAX_LINE_LENGTH, LineSplitter, LineTooLong, is_printable_word, peek_line
 from .load_reports import DelaySchedule, SessionLoads
 from .loop import WRITE
 
@@ -51,6 +51,8 @@
         self.is_established = False
         self.is_over = False  # its ending has been reported
         self.line_splitter = LineSplitter()
+        self.is_line_released = False  # part of the server's unfinished line may have been passed on
+        self.held_since = 0  # when the first of the bytes held in `inbound` arrived
         self.loads = SessionLoads()
         self.eof_ending = Ending.SERVER_ENDED  # what an end of stream would mean now
         self.connect_timer = self.loop.after(connect_timeout, self.on_connect_timeout)
@@ -97,8 +99,7 @@
 
     def on_data(self, count: int) -> None:
         if self.is_established:
-            self.inspect_lines(count)
-            self.client.flush()
+            self.client.on_server_data(has_line_ended=self.inspect_lines(count))
             return
         try:
             line = peek_line(self.inbound)
@@ -123,12 +124,16 @@
         self.service.on_dial_established(self, self.loop.now() - self.started_at)
         if self.is_open:
             self.inspect_lines(self.inbound.used)
-            self.client.flush()
             if self.service.moves_new_sessions:
                 self.client.move()
+            self.client.flush()
+
+    def inspect_lines(self, count: int) -> bool:
+        """Inspects the relayed lines for loads, answers and BYE or MOVE; the bytes pass unchanged.
 
-    def inspect_lines(self, count: int) -> None:
-        """Inspects the relayed lines for loads, answers and BYE or MOVE; the bytes pass unchanged."""
+        Returns whether a line ends among these bytes.
+        """
+        unfinished_before = self.line_splitter.partial_length
         for line in self.line_splitter.feed(self.inbound.peek_last(count)):
             if line.startswith(b"LOAD "):
                 self.service.on_load_line(self, line)
@@ -138,6 +143,31 @@
             elif line == b"MOVE":
                 self.eof_ending = Ending.SENT_AWAY
             self.client.on_server_line()
+        has_line_ended = self.line_splitter.partial_length < unfinished_before + count
+        self.hold_unfinished_line(has_line_ended)
+        return has_line_ended
+
+    def hold_unfinished_line(self, has_line_ended: bool) -> None:
+        """Holds back a line that has only begun to arrive, so that MOVE can take its place at any time.
+
+        The service releases a line that has been held for too long.
+        """
+        unfinished = self.line_splitter.partial_length
+        if has_line_ended:
+            self.is_line_released = False
+        if unfinished > MAX_LINE_LENGTH:
+            self.is_line_released = True
+        if has_line_ended or not self.inbound.held:
+            self.held_since = self.loop.now()
+        self.inbound.held = 0 if self.is_line_released else unfinished
+        if self.inbound.held:
+            self.service.holding_dials[self] = None
+
+    def release_line(self) -> None:
+        """Passes the unfinished line on as far as it has arrived; the rest follows as it arrives."""
+        self.is_line_released = True
+        self.inbound.held = 0
+        self.client.flush()
 
     def on_eof(self) -> None:
         if self.is_established:
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -51,6 +51,7 @@
 MAX_LOAD = 1e12  # reported loads from here on are ignored, clients' hints from here on are malformed
 DRAIN_SPREAD = SECOND  # time over which the sessions of a draining server are moved
 CHECK_INTERVAL = SECOND // 2  # between checks of the established sessions of each server
+MAX_HOLD_TIME = SECOND * 9 // 10  # for the unfinished line of a server; a line may be held for a second
 LIST_BATCH = 256  # list entries passed to the policy in one loop iteration
 LONG_ITERATION = SECOND // 10  # logged from this duration on, as all other work waits meanwhile
 LONG_DECISION = SECOND // 20  # likewise for a single decision
@@ -142,6 +143,7 @@
         # Listed servers not yet passed to the policy.
         self.pending_updates: dict[int, tuple[ServerListEntry | None, interface.ListKind]] = {}
         self.active_servers: dict[int, KnownServer] = {}  # with sessions or with delays yet to be reported
+        self.holding_dials: dict[DialConnection, None] = {}  # those that may hold an unfinished line
         self.sessions: dict[int, Client] = {}
         self.open_identifiers: set[bytes] = set()  # the ids that the clients gave these sessions
         self.connections: dict[Client, None] = {}  # all open client connections, oldest first
@@ -477,6 +479,7 @@
         if self.loop.longest_iteration >= LONG_ITERATION:
             self.log("long_turn", took=self.loop.longest_iteration)
         self.loop.longest_iteration = 0
+        self.release_held_lines()
         now = self.loop.now()
         for index, server in list(self.active_servers.items()):
             if not (server.sessions or server.delays):
@@ -506,6 +509,16 @@
                     self.log("silent", sess=client.session_id, server=index)
                     client.move()
 
+    def release_held_lines(self) -> None:
+        """Passes on the unfinished lines that would be held for too long by the next check."""
+        latest = self.loop.now() + CHECK_INTERVAL - MAX_HOLD_TIME
+        for dial in list(self.holding_dials):
+            if dial.is_open and dial.inbound.held:
+                if dial.held_since > latest:
+                    continue
+                dial.release_line()
+            del self.holding_dials[dial]
+
     # The server list
 
     def on_list(self, server_list: ServerList) -> None:
@@ -716,7 +729,7 @@
         self.is_closing = True
         for client in list(self.connections):
             if client.is_established:
-                client.move()
+                client.move(at_once=True)
             elif client.dial is not None:
                 client.dial.on_time_limit()
             elif client.session_id < 0:
@@ -737,12 +750,11 @@
 
     def log_cut_off(self, client: Client) -> None:
         """Logs that a session ends without MOVE, and what kept MOVE from being sent."""
-        unfinished = len(client.dial.line_splitter.partial)
         self.log(
             "cut_off",
             sess=client.session_id,
             server=client.dial.server,
             moving=client.is_moving,
-            unfinished=unfinished,
+            unfinished=client.dial.line_splitter.partial_length,
             unsent=client.outbound.used,
         )
