--- a/tests/test_list_within.py
+++ b/tests/test_list_within.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from .list_calls import FLEET_FAILURES, new_fleet, run_with_failure, silent
+from .list_calls import FLEET_FAILURES, new_fleet, run_with_failure, silent, slow
 from .list_paths import FAILURES, SECOND, SLOWEST_ANSWER, Play
 
 SITES = {
@@ -58,6 +58,15 @@
             )
 
 
+@pytest.mark.parametrize("discovery", ["on_request", "pushed"])
+def test_a_service_whose_connections_come_up_late_is_heard(discovery: str) -> None:
+    """Guards against connections that are given up while they come up, each time anew."""
+    site = SITE | {"ask_within_us": 10_000_000, "replicas": 3, "discovery": discovery, "answer_duration": 0}
+    for seed in range(5):
+        play = Play([("reset", 0.0)], **site | {"seed": seed}, connect_ns=1_400_000_000).run()
+        assert 0 < play.received_at - play.available_since <= 6 * SECOND, play.received_at
+
+
 def test_balancers_whose_answers_never_end_retry_at_different_times() -> None:
     """The limit must not be met by all balancers calling at once."""
     site = SITE | {"ask_within_us": 10_000_000, "replicas": 200, "answer_duration": 0}
@@ -66,6 +75,19 @@
     assert delays[-1] - delays[0] > SECOND and delays[10] - delays[5] > SECOND // 10, delays
 
 
+@pytest.mark.parametrize("drain_grace", [0.4, 2.0, 10.0])
+@pytest.mark.parametrize("discovery", ["on_request", "pushed"])
+def test_a_slow_service_is_heard_by_all_and_asked_no_more_than_needed(
+    discovery: str, drain_grace: float
+) -> None:
+    """Guards against calls that are given up before a slow service answers, each time anew (review 3)."""
+    fleet = new_fleet(40, 0, 0, 10, seed=1, discovery=discovery, drain_grace=drain_grace)
+    result = run_with_failure(fleet, slow)
+    calls_a_second = 1 / min(drain_grace / 2, 2)  # a call that hangs is followed by another after this time
+    assert len(result.received_at) == 40 and result.received_at[-1] <= 6 * SECOND, result
+    assert result.calls <= 40 * (1 + 1.5 * calls_a_second) and result.refused == 0, result
+
+
 @pytest.mark.parametrize("ask_within", [10, 120])
 @pytest.mark.parametrize("failure", FLEET_FAILURES, ids=lambda failure: failure.__name__)
 def test_a_fleet_does_not_overload_a_service_that_answers_a_few_calls_a_second(
--- a/thymedeck/lab/standins.py
+++ b/thymedeck/lab/standins.py
@@ -128,6 +128,7 @@
         self.capacity = capacity
         self.refusal_cost = 0.0  # cost of a 503 as a fraction of the cost of an answer
         self.max_queue_time = SECOND
+        self.answer_delay = 0  # between the arrival of a request and when it is looked at
         self.version = 1
         self.servers: dict[str, ListedServer] = {}
         self.changed_in_version: dict[str, int] = {}  # by server: the version of its last change
@@ -174,6 +175,12 @@
         query = dict(pair.split("=") for pair in target.partition("?")[2].split("&") if pair)
         index, wait = int(query.get("index", -1)), int(query.get("wait", 0)) * 10
         self.record.note("list call", balancer=request.balancer, index=index, wait=wait)
+        if self.answer_delay:
+            self.loop.after(self.answer_delay, lambda: self.process(request, index, wait))
+        else:
+            self.process(request, index, wait)
+
+    def process(self, request: ListRequest, index: int, wait: int) -> None:
         if self.is_down:
             self.record.note("list answer", balancer=request.balancer, status=0, version=-1)
             request.close(reset=True)
--- a/thymedeck/net/loop.py
+++ b/thymedeck/net/loop.py
@@ -53,7 +53,7 @@
         self.polled_at = self.now()
         self.longest_iteration = 0  # longest time between two polls since its reader last reset it
         self.stall_duration = 0  # data read now may have waited this long because the process was stalled
-        self.priority_handler: EventHandler | None = None  # dispatched before all others
+        self.priority_handlers: list[EventHandler] = []  # dispatched before all others
 
     def set_descriptor_limit(self, descriptor_limit: int) -> None:
         """Sets how many descriptors the process may use."""
@@ -115,9 +115,9 @@
         late = self.timers and now - self.timers[0][0] > STALL_THRESHOLD
         self.stall_duration = now - self.polled_at if late else 0
         self.polled_at = now
-        if len(ready_events) > 1 and self.priority_handler is not None:
+        if len(ready_events) > 1 and self.priority_handlers:
             # After a stall a new server list may be waiting; sessions must not be placed by the old one.
-            ready_events.sort(key=lambda event: event[0].data is not self.priority_handler)
+            ready_events.sort(key=lambda event: event[0].data not in self.priority_handlers)
         for key, mask in ready_events:
             self.run_guarded(key.data.on_ready, mask)
 
