Ask a crowded list service less often where lists are pushed, from the third refusal on

Cause: a request that failed is repeated within a quarter of the drain grace (0.5 s), whatever failed, since pushed lists count as delivered (Balancer.on_list_updated).

Change: a refusal that took 0.5 s or more tells of a queue. After two such in a row the pause and the time given to a request double with each more, up to the 3.8 s that hold for lists that are asked for; any answer, or a refusal at once (a service that is down), brings the old pace back. The first two retries keep their pace, as a third would be too late for the 6 s anyway.

--- a/tests/test_list_within.py
+++ b/tests/test_list_within.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from .list_calls import FLEET_FAILURES, new_fleet, run_with_failure, silent, slow
+from .list_calls import FLEET_FAILURES, crowded, new_fleet, run_with_failure, silent, slow
 from .list_paths import FAILURES, SECOND, SLOWEST_ANSWER, Play
 
 SITES = {
@@ -22,6 +22,7 @@
 SCRIPTS = st.lists(
     st.tuples(st.sampled_from(["served", "served", "served", *FAILURES]), st.floats(0, 1)), max_size=6
 )
+MAX_INTERVAL = 3.8  # seconds between two requests that fail
 SITE = {"discovery": "on_request", "drain_grace_us": 2_000_000, "seed": 1, "answer_duration": SLOWEST_ANSWER}
 
 
@@ -88,6 +89,14 @@
     assert result.calls <= 40 * (1 + 1.5 * calls_a_second) and result.refused == 0, result
 
 
+@pytest.mark.parametrize("failure", [*FLEET_FAILURES, crowded], ids=lambda failure: failure.__name__)
+def test_a_crowded_service_gets_rid_of_its_queue_where_lists_are_pushed(failure: Callable) -> None:
+    """Guards against requests that come at such a pace that refusing them takes all of the service's time."""
+    result = run_with_failure(new_fleet(80, 20, 0.3, 10, seed=1, discovery="pushed"), failure)
+    assert len(result.received_at) == 80, result
+    assert result.calls <= 80 * (2 + result.received_at[-1] / SECOND / MAX_INTERVAL), result
+
+
 @pytest.mark.parametrize("ask_within", [10, 120])
 @pytest.mark.parametrize("failure", FLEET_FAILURES, ids=lambda failure: failure.__name__)
 def test_a_fleet_does_not_overload_a_service_that_answers_a_few_calls_a_second(
--- a/thymedeck/interface.py
+++ b/thymedeck/interface.py
@@ -137,6 +137,8 @@
     # balancers may have failed at the same moment.
     is_scheduled: bool = False
     listed_count: int = 0  # size of the whole list while some of its entries are still to be delivered
+    # FAILED: how many times the delay between requests should be doubled, as the service is crowded.
+    backoff: int = 0
 
 
 class SessionArrived(Struct):
--- a/thymedeck/net/serverlist.py
+++ b/thymedeck/net/serverlist.py
@@ -24,6 +24,9 @@
 # A silent watch is given up this long after its wait: changes that it misses count as delivered 2 s after it.
 WATCH_TIMEOUT_MARGIN = 10_000
 MAX_WATCH_WAIT = 600_000
+CROWDED_REFUSAL_TIME = 5_000  # a refusal that takes this long tells of a queue at the service
+QUICK_RETRIES = 2  # after such refusals, at the usual pace; the third retry would be too late for the 6 s
+MAX_BACKOFF = 10
 # If a reused connection ends this soon after a request, the service had closed it before the request arrived.
 STALE_CONNECTION_WINDOW = 500
 MAX_ANSWER_SIZE = 8 << 20
@@ -192,6 +195,7 @@
         self.version = version
         self.connection: ListConnection | None = None  # of the latest request
         self.late_connection: ListConnection | None = None  # of an earlier one whose answer is still awaited
+        self.refusals = 0  # requests in a row that were refused after CROWDED_REFUSAL_TIME
         self.is_started = False
         self.is_scheduled = False  # the pending request was scheduled by the policy, with jitter
 
@@ -229,6 +233,8 @@
         if connection not in (self.connection, self.late_connection):
             return
         if status != 200:
+            is_crowded = self.service.loop.now() - connection.asked_at >= CROWDED_REFUSAL_TIME
+            self.refusals = self.refusals + 1 if is_crowded and not connection.wait else 0
             self.on_request_failed(connection, f"status {status}")
             return
         try:
@@ -238,6 +244,7 @@
             self.version = -1
             self.on_request_failed(connection, f"bad answer: {error}")
             return
+        self.refusals = 0
         self.keep_only(connection)
         if not can_reuse or not connection.is_open:
             connection.close()
@@ -279,8 +286,18 @@
             connection.close()
 
     def request_timeout(self, wait: int) -> int:
-        """How long after a request with this wait the next one is made, if it is not answered."""
-        return wait + min(WATCH_TIMEOUT_MARGIN if wait else ANSWER_TIMEOUT, self.max_timeout_margin)
+        """How long after a request with this wait the next one is made, if it is not answered.
+
+        A crowded service is given more time, as each further request makes its queue longer.
+        """
+        if wait:
+            return wait + min(WATCH_TIMEOUT_MARGIN, self.max_timeout_margin)
+        return min(ANSWER_TIMEOUT, self.max_timeout_margin << self.backoff)
+
+    @property
+    def backoff(self) -> int:
+        """How many times the pace of requests is halved, as the service is crowded."""
+        return min(max(self.refusals - QUICK_RETRIES, 0), MAX_BACKOFF)
 
     def on_watch_silent(self, connection: ListConnection) -> None:
         """Opens a silent watch again at once, as the protocol requires."""
@@ -309,7 +326,7 @@
     def schedule_next(self, reason: str, pending_duration: int) -> None:
         """Leaves it to the policy when the next request is made."""
         self.is_started = False
-        self.service.on_list_failed(reason, pending_duration, self.is_scheduled)
+        self.service.on_list_failed(reason, pending_duration, self.is_scheduled, self.backoff)
 
     def close(self) -> None:
         """Drops all requests."""
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -665,11 +665,13 @@
         else:
             self.list_client.start()
 
-    def on_list_failed(self, error: str, pending_duration: int, is_scheduled: bool) -> None:
+    def on_list_failed(self, error: str, pending_duration: int, is_scheduled: bool, backoff: int) -> None:
         self.log("list_failed", why=error)
         # The policy schedules the next request with jitter, so that balancers do not call in step.
         self.handle_event(
-            interface.ServerListUpdated(interface.ListKind.FAILED, [], pending_duration, is_scheduled)
+            interface.ServerListUpdated(
+                interface.ListKind.FAILED, [], pending_duration, is_scheduled, backoff=backoff
+            )
         )
 
     # Reload
--- a/thymedeck/policy/balancer.py
+++ b/thymedeck/policy/balancer.py
@@ -286,10 +286,11 @@
             )
             # What the list service pushes counts as received by this balancer even while it has no watch
             # open. So that a drain is not noticed too late, the delay is at most a quarter of its grace time.
+            pushed_delay = deployment.drain_grace / 4 * 2**event.backoff
             max_delay = min(
                 max_delay,
                 MAX_LIST_REQUEST_INTERVAL - event.call_duration,
-                max_delay if deployment.list_on_request else deployment.drain_grace / 4,
+                max_delay if deployment.list_on_request else pushed_delay,
             )
             # Balancers whose requests were scheduled at different times keep that distance; after
             # simultaneous failures the jitter starts at zero.
