Move the client of a server that ends within a line, in place of half a line

Cause: Client.on_server_eof released what was held, as the end of a stream is passed on in the same way. A server that ends without the end of its line has broken, though; half a line is no line.

Change: at an end within a line no part of which was passed on, the client gets MOVE after the whole lines, unless it has half-closed itself. An end between two lines is passed on as before. The pending move's own case is the same code now, so it is logged as SERVER_ENDED.

--- a/thymedeck/net/clients.py
+++ b/thymedeck/net/clients.py
@@ -245,12 +245,16 @@
             self.finish(Ending.MOVE_OVERDUE)
 
     def on_server_eof(self, ending: Ending) -> None:
-        """The server has half-closed; the client's side follows once all bytes are passed on."""
-        if self.is_moving:
-            self.complete_move()  # the line that the move waited for will not end
-        if self.is_finished:
-            return
+        """The server has half-closed; the client's side follows once all bytes are passed on.
+
+        A server that ends within a line has broken: the client is asked to move, unless it has part of the
+        line already or has half-closed itself.
+        """
         self.service.on_session_ended(self, ending)
+        is_within_line = self.dial.line_splitter.partial_length > 0
+        if is_within_line and not self.received_eof and self.try_send_move():
+            self.finish(ending, linger=True)
+            return
         self.shutdown_write()
         self.start_half_close()
 
