--- a/tests/list_paths.py
+++ b/tests/list_paths.py
@@ -17,8 +17,8 @@
 from thymedeck.lab.virtual_network import Machine, VirtualNetwork
 from thymedeck.net.config_file import BalancerConfig, StartupConfig
 from thymedeck.net.connection import Connection
+from thymedeck.net.list_connection import ANSWER_TIMEOUT
 from thymedeck.net.loop import EventLoop
-from thymedeck.net.serverlist import ANSWER_TIMEOUT
 from thymedeck.net.service import Service
 
 from .helpers import SETTINGS
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -15,7 +15,7 @@
 
 from tests.helpers import SETTINGS
 from thymedeck.net.loop import EventLoop
-from thymedeck.net.service import SignalReceiver
+from thymedeck.net.signals import SignalReceiver
 from thymedeck.net.system import System
 
 HANDLED = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
--- a/thymedeck/__main__.py
+++ b/thymedeck/__main__.py
@@ -12,7 +12,8 @@
 import sys  # noqa: E402
 
 from .net.config_file import StartError, read_startup_config  # noqa: E402
-from .net.service import Service, SignalReceiver  # noqa: E402
+from .net.service import Service  # noqa: E402
+from .net.signals import SignalReceiver  # noqa: E402
 from .net.system import System  # noqa: E402
 
 VERSION = "0.6.0"
--- a/tools/turns.py
+++ b/tools/turns.py
@@ -32,7 +32,8 @@
 from tests.helpers import SETTINGS  # noqa: E402
 from thymedeck.net.config_file import read_startup_config  # noqa: E402
 from thymedeck.net.servers import DialConnection  # noqa: E402
-from thymedeck.net.service import Service, SignalReceiver  # noqa: E402
+from thymedeck.net.service import Service  # noqa: E402
+from thymedeck.net.signals import SignalReceiver  # noqa: E402
 from thymedeck.net.system import System  # noqa: E402
 
 TABLE_HEADING = (
