Relay: no extra calls for reads that end with a line

The hold of unfinished lines cost properties, a call and a look at the clock on every read. A read that ends with a line now only clears what was held, the clock is read once for each held line, and the rings' limits are plain attributes.

--- a/thymedeck/net/connection.py
+++ b/thymedeck/net/connection.py
@@ -81,7 +81,7 @@
         try:
             if self.discards_input:
                 count = len(self.sock.recv(65536))
-            elif self.inbound.receive_space <= 0:
+            elif self.inbound.used >= self.inbound.receive_limit:
                 return False
             else:
                 count = self.inbound.receive_from(self.sock)
@@ -103,16 +103,16 @@
         """Writes as much as the socket takes now; the rest follows when it is writable again."""
         if not self.is_open or self.connecting:
             return
-        written = 0
+        outbound, written = self.outbound, 0
         try:
-            while self.outbound.sendable and not self.shutdown_sent:
-                written += self.outbound.send_to(self.sock)
+            while outbound.used > outbound.held and not self.shutdown_sent:
+                written += outbound.send_to(self.sock)
         except (BlockingIOError, InterruptedError):
             pass
         except OSError:
             self.on_write_error()
             return
-        if not self.outbound.sendable:
+        if outbound.used <= outbound.held:
             if self.shutdown_requested and not self.shutdown_sent:
                 self.shutdown_sent = True
                 try:
@@ -131,10 +131,10 @@
         if not self.is_open:
             return
         mask = 0
-        if self.connecting or (self.outbound.sendable and not self.shutdown_sent):
+        if self.connecting or (self.outbound.used > self.outbound.held and not self.shutdown_sent):
             mask |= WRITE
         if not (self.connecting or self.received_eof or self.reading_disabled) and (
-            self.discards_input or self.inbound.receive_space > 0
+            self.discards_input or self.inbound.used < self.inbound.receive_limit
         ):
             mask |= READ
         self.loop.watch(self.sock, self.mask, mask, self)
--- a/thymedeck/net/ring.py
+++ b/thymedeck/net/ring.py
@@ -8,10 +8,11 @@
 
 
 class RingBuffer:
-    __slots__ = ("start_position", "used", "held", "size", "memory")
+    __slots__ = ("start_position", "used", "held", "size", "receive_limit", "memory")
 
     def __init__(self, size: int = DEFAULT_SIZE) -> None:
         self.size = size
+        self.receive_limit = size - APPEND_RESERVE  # `receive_from` fills it up to here
         self.memory: memoryview | None = None  # allocated on first use: many peers never send anything
         self.start_position = 0
         self.used = 0
@@ -21,15 +22,6 @@
     def free_space(self) -> int:
         return self.size - self.used
 
-    @property
-    def receive_space(self) -> int:
-        """The number of bytes that `receive_from` may read; not positive: none."""
-        return self.size - self.used - APPEND_RESERVE
-
-    @property
-    def sendable(self) -> int:
-        return self.used - self.held
-
     def segments(self, start: int, length: int) -> list[memoryview]:
         """The one or two segments that hold `length` bytes from `start` on."""
         if self.memory is None:
@@ -41,13 +33,14 @@
         return [self.memory[start:], self.memory[: end - self.size]]
 
     def receive_from(self, sock: socket.socket) -> int:
-        """Reads up to `receive_space` bytes; returns the number of bytes, 0 at the end of the stream."""
-        received = sock.recvmsg_into(self.segments(self.start_position + self.used, self.receive_space))[0]
+        """Reads up to `receive_limit`; returns the number of bytes, 0 at the end of the stream."""
+        free = self.receive_limit - self.used
+        received = sock.recvmsg_into(self.segments(self.start_position + self.used, free))[0]
         self.used += received
         return received
 
     def send_to(self, sock: socket.socket) -> int:
-        sent = sock.sendmsg(self.segments(self.start_position, self.sendable))
+        sent = sock.sendmsg(self.segments(self.start_position, self.used - self.held))
         self.discard(sent)
         return sent
 
--- a/thymedeck/net/servers.py
+++ b/thymedeck/net/servers.py
@@ -143,25 +143,29 @@
             elif line == b"MOVE":
                 self.eof_ending = Ending.SENT_AWAY
             self.client.on_server_line()
-        has_line_ended = self.line_splitter.partial_length < unfinished_before + count
-        self.hold_unfinished_line(has_line_ended)
+        unfinished = self.line_splitter.partial_length
+        has_line_ended = unfinished < unfinished_before + count
+        if has_line_ended:
+            self.inbound.held = 0
+            self.is_line_released = False
+        if unfinished:
+            self.hold_unfinished_line(unfinished)
         return has_line_ended
 
-    def hold_unfinished_line(self, has_line_ended: bool) -> None:
+    def hold_unfinished_line(self, length: int) -> None:
         """Holds back a line that has only begun to arrive, so that MOVE can take its place at any time.
 
         The service releases a line that has been held for too long.
         """
-        unfinished = self.line_splitter.partial_length
-        if has_line_ended:
-            self.is_line_released = False
-        if unfinished > MAX_LINE_LENGTH:
+        if length > MAX_LINE_LENGTH:
             self.is_line_released = True
-        if has_line_ended or not self.inbound.held:
+        if self.is_line_released:
+            self.inbound.held = 0
+            return
+        if not self.inbound.held:
             self.held_since = self.loop.now()
-        self.inbound.held = 0 if self.is_line_released else unfinished
-        if self.inbound.held:
             self.service.holding_dials[self] = None
+        self.inbound.held = length
 
     def release_line(self) -> None:
         """Passes the unfinished line on as far as it has arrived; the rest follows as it arrives."""
