--- a/thymedeck/net/clients.py
+++ b/thymedeck/net/clients.py
@@ -247,12 +247,12 @@
     def on_server_eof(self, ending: Ending) -> None:
         """The server has half-closed; the client's side follows once all bytes are passed on.
 
-        A server that ends within a line has broken: the client is asked to move, unless it has part of the
-        line already or has half-closed itself.
+        A server that ends within a line, without BYE or MOVE, has broken: the client is asked to move, unless
+        it has part of the line already or has half-closed itself.
         """
         self.service.on_session_ended(self, ending)
-        is_within_line = self.dial.line_splitter.partial_length > 0
-        if is_within_line and not self.received_eof and self.try_send_move():
+        has_broken = ending is Ending.SERVER_ENDED and self.dial.line_splitter.partial_length > 0
+        if has_broken and not self.received_eof and self.try_send_move():
             self.finish(ending, linger=True)
             return
         self.shutdown_write()
