Review stand-ins: each balancer has a seed of its own

Cause: all balancers of a case had the same default seed, which no platform gives them. Change: a seed drawn for each from the case's own random numbers, written to the record.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -131,7 +131,11 @@
         self.discovery = discovery
         self.port = case.free_port()
         self.listen = f"{HOST}:{self.port}"
-        self.config = {"name": name, "listen": self.listen, "discovery": discovery, **config}
+        seed = f"{case.random.getrandbits(64):016x}"
+        self.config = {
+            "name": name, "listen": self.listen, "discovery": discovery, "seed": seed, **config,
+        }  # fmt: skip
+        case.note(f"{name}: seed {seed}")
         self.config_path = case.temporary / f"{name}.json"
         self.log_path = case.temporary / f"{name}.log"
 
