--- a/review/10/play.py
+++ b/review/10/play.py
@@ -1,78 +1,63 @@
-"""A connection that falls silent in the middle of a line, at a server that goes on running."""
+"""Connections from before the run, of which some are reset once under their line."""
 
 import asyncio
+import socket
+import struct
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from standins_2 import (
-    LINE_INTERVAL,
-    RULE_SLACK,
-    Balancer,
-    CannotRun,
-    Case,
-    Client,
-    ListService,
-    Server,
-    ServerConnection,
-    main,
-    settings,
-)
+from standins_2 import Balancer, CannotRun, Case, Client, ListService, Server, main, settings
 
-SILENCE_LIMIT = 7.0
+UP_WITHIN = 40.0
+RESETS = 2  # connections that are reset, of CLIENTS
+CLIENTS = 6
+
+
+class ResettingServer(Server):
+    """Its first connections are reset once their line has come; all others are served."""
+
+    resets_left = 0
+
+    async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if not self.resets_left:
+            await super().accept(reader, writer)
+            return
+        self.resets_left -= 1
+        line = await reader.readline()
+        self.case.note(f"server {self.id}: line {line!r}, and its connection is reset")
+        # A close that sends a reset.
+        linger = struct.pack("ii", 1, 0)
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
 
 
 async def play(case: Case) -> None:
-    servers = [Server(case, name) for name in ("one", "two")]
+    servers = [ResettingServer(case, name) for name in ("one", "two", "three")]
     for server in servers:
         await server.start()
     service = ListService(case, servers)
     balancer = Balancer(case, "n1", await service.start(), {"settings": settings(), "known": service.known()})
     await balancer.start()
-    # As many as fill half a core of each server; their lines come evenly.
-    clients = [Client(case, balancer) for _ in range(24)]
-    for client in clients:
+    if case.has_trouble:
+        servers[0].resets_left = RESETS
+    clients = []
+    for number in range(CLIENTS):
+        client = Client(case, balancer)
+        client.more = f",at={servers[number % len(servers)].id}"
+        clients.append(client)
         case.spawn(client.play())
-        await asyncio.sleep(LINE_INTERVAL / len(clients))
-    await asyncio.sleep(3.0)
-    if not all(client.is_up for client in clients):
-        raise CannotRun("the sessions are not up")
-    server = next(one for one in servers if len(one.connections) >= 2)
-    victim = next(client for client in clients if client.id in {c.session for c in server.connections})
-    silent_since = -1.0
-
-    def on_line(connection: ServerConnection, line: bytes) -> None:
-        """The server's next own line behind an answer; the connection falls silent within it."""
-        nonlocal silent_since
-        if connection.session != victim.id or silent_since >= 0:
-            return
-        if case.has_trouble:
-            connection.send(b"reading 17 21")
-            connection.is_silent = True
-            case.note(f"server {server.id}: the connection of {victim.id} has fallen silent")
-        else:
-            connection.send(b"reading 17 21.4\r\n")
-        silent_since = case.now()
-
-    server.on_line = on_line
-    while silent_since < 0:
-        await asyncio.sleep(0.05)
-    await asyncio.sleep(13.0)
-    if not case.has_trouble:
-        if victim.ended_at >= 0 or case.now() - victim.last_at > LINE_INTERVAL + 1:
-            case.broken("a sound connection was ended")
-        return
-    end = victim.ended_at if victim.ended_at >= 0 else case.now()
-    case.note(
-        f"client {victim.id}: silent since {silent_since:.3f} at the server; "
-        f"last bytes at {victim.last_at:.3f}, "
-        f"{'moved' if victim.was_moved else 'not moved'}, ended at {end:.3f}"
-    )
-    # Counted from the last bytes that the client got, which were on their way for a while.
-    if end - victim.last_at > SILENCE_LIMIT + RULE_SLACK:
+    until = case.now() + UP_WITHIN
+    while case.now() < until and not all(client.answer for client in clients):
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(2.5)
+    if servers[0].resets_left:
+        raise CannotRun("no line came to be reset")
+    lost = [client for client in clients if not client.is_up]
+    if lost:
         case.broken(
-            f"a connection brought nothing for {end - victim.last_at:.3f} s (the server was running) and was "
-            f"neither ended nor moved within 7 s; at the server it was silent for {end - silent_since:.3f} s"
+            f"{len(lost)} of {len(clients)} connections that stood before the run are not up: "
+            + ", ".join(f"{client.more[1:]} was answered {client.answer!r}" for client in lost)
         )
 
 
