Review stand-ins: a failed stand-in ends the run with 2, and no process is left

Cause: an error in a stand-in could pass for a broken rule, and a test that is told to end left its balancers running. Change: any error in the test ends it with 2; SIGTERM ends it by the way that ends its processes.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -83,6 +83,7 @@
         self.balancers: list[Balancer] = []
         self.tasks: set[asyncio.Task] = set()
         self.faults: list[str] = []  # broken rules
+        self.has_failed = False  # a stand-in has failed, so that the run tells nothing
 
     def now(self) -> float:
         return time.monotonic() - self.started_at
@@ -105,6 +106,7 @@
         self.tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
             self.note(f"a stand-in failed: {error!r}")
+            self.has_failed = True
 
     def free_port(self) -> int:
         with socket.socket() as sock:
@@ -453,7 +455,9 @@
         case.note("with its disruption" if case.has_trouble else "without its disruption")
         try:
             await asyncio.wait_for(play(case), TIME_LIMIT)
-        except (CannotRun, OSError, TimeoutError) as error:
+            if case.has_failed:
+                raise CannotRun("a stand-in has failed")
+        except Exception as error:  # whatever it is, the run tells nothing of the rule
             case.note(f"could not run: {error!r}")
             print(f"could not run: {error!r}")
             return NOT_RUN
@@ -464,4 +468,6 @@
             case.note(f"result: {text}")
         return BROKEN if case.faults else HELD
 
+    # So that a run that is told to end ends its processes, too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     sys.exit(asyncio.run(run()))
