Dial a session from before the start again after a reset, as its class allows

Cause: Service.on_dial_ended dialled such sessions again only after outcomes that never execute the line. The rule by which a line may be repeated was asked for new sessions alone. On the same path one dial had all of the 35 s, so a connection that never came up, or that fell silent, used up the whole time.

Evidence: the log had one `dial` line (CUT_SENT) for each lost session and no other; its answer had no line, so `answer` with its reason is written now.

Change: policy/repeats.py holds the rule for both paths; net/restored.py dials such a session until it is up, its line must not be sent again, or the time is over. A dial has a third of the time that is left, where another may follow it.

--- a/tests/test_many_servers.py
+++ b/tests/test_many_servers.py
@@ -222,4 +222,4 @@
     assert last in service.pending_updates and last not in service.balancer.servers
     client = Client(service, service.loop.system.stream())
     service.on_open_line(client, b"OPEN id1 key1 c=chat,d=1000,at=s%d" % last)
-    assert client.restored_server == last and last in service.balancer.servers
+    assert client.restored.server == last and last in service.balancer.servers
--- a/thymedeck/net/clients.py
+++ b/thymedeck/net/clients.py
@@ -11,6 +11,7 @@
 from .endings import Ending
 from .lines import LineTooLong, peek_line
 from .loop import READ, STALL_THRESHOLD
+from .restored import RestoredSession
 from .servers import DialConnection
 
 if TYPE_CHECKING:
@@ -92,8 +93,7 @@
         self.service = service
         self.open_words: list[bytes] = []  # words of the OPEN line, with b"\0" as the value of `d`
         self.session_id = -1
-        self.restored_server = -1  # server of a session that existed before this balancer started
-        self.restore_deadline = 0
+        self.restored: RestoredSession | None = None  # the session existed before this balancer started
         self.dial: DialConnection | None = None
         self.is_established = False
         self.is_moving = False
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -32,6 +32,7 @@
 from .lines import is_printable_word
 from .log import EventLog
 from .loop import DIAL_RESERVE, EventLoop
+from .restored import RestoredSession
 from .serverlist import ListClient
 from .servers import DialConnection, KnownServer
 from .signals import SignalReceiver
@@ -43,8 +44,6 @@
     "DRAINING": interface.ServerState.DRAINING,
     "DELETED": interface.ServerState.GONE,
 }
-RESTORE_TIMEOUT = 35 * SECOND  # for re-establishing a session that existed before this balancer started
-RESTORE_RETRY_PAUSE = 2_000
 MAX_DEADLINE_MS = 86_400_000  # largest deadline accepted from a client
 MAX_LOAD = 1e12  # reported loads from here on are ignored, clients' hints from here on are malformed
 DRAIN_SPREAD = SECOND  # time over which the sessions of a draining server are moved
@@ -253,10 +252,9 @@
             if server in self.pending_updates:
                 self.deliver([server])
             self.add_session(client)
-            client.restored_server = server
-            client.restore_deadline = self.loop.now() + RESTORE_TIMEOUT
+            client.restored = RestoredSession(self, client, server, self.deployment.listeners[listener])
             self.handle_event(interface.SessionRestored(session_id, listener, hint, client_key, server))
-            self.dial_restored(client)
+            client.restored.dial()
             return
         self.add_session(client)
         # The time that the line may have waited unread counts towards the client's deadline.
@@ -285,7 +283,7 @@
         A restored session goes to its server in any state.
         """
         entry = self.servers[dial.server].entry
-        return dial.client.restored_server >= 0 or entry is None or entry.state is interface.ServerState.READY
+        return dial.client.restored is not None or entry is None or entry.state is interface.ServerState.READY
 
     def evict_clients(self, min_free: int) -> None:
         """Closes clients without a session, oldest first, until more than `min_free` descriptors are free.
@@ -322,30 +320,19 @@
         client.dial.start(client.open_line(limit))
         return True
 
-    def dial_restored(self, client: Client) -> None:
-        if client.is_finished:
-            return
-        left = client.restore_deadline - self.loop.now()
-        if self.is_closing:
-            self.fail_restored(client)
-        elif not self.start_dial(client, client.restored_server, left, left):
-            self.loop.after(RESTORE_RETRY_PAUSE, lambda: self.dial_restored(client))
-
-    def fail_restored(self, client: Client) -> None:
-        self.remove_session(client.session_id)
-        self.handle_event(
-            interface.DialEnded(
-                client.session_id, client.restored_server, OUTCOMES[Ending.NOT_UP], True, None
-            )
-        )
-        client.answer(b"ERR not up\r\n", Ending.ANSWERED)
+    def fail_restored(self, restored: RestoredSession, reason: interface.Reason) -> None:
+        client = restored.client
+        outcome = OUTCOMES[Ending.NOT_UP]
+        ended = interface.DialEnded(client.session_id, restored.server, outcome, True, None)
+        self.answer(client.session_id, b"ERR not up\r\n", reason)
+        self.handle_event(ended)
 
     def on_dial_established(self, dial: DialConnection, duration: int) -> None:
         client = dial.client
         client.on_established(dial)
         known = self.active_servers[dial.server] = self.servers[dial.server]
         known.sessions[client] = None
-        if client.restored_server < 0:
+        if client.restored is None:
             self.log("up", sess=client.session_id, server=dial.server, took=duration)
             self.handle_event(interface.SessionEstablished(client.session_id, dial.server, duration))
 
@@ -362,16 +349,10 @@
             sent=dial.is_sent,
             took=self.loop.now() - dial.started_at,
         )
-        outcome = OUTCOMES[ending]
-        if client.restored_server >= 0:
-            if (
-                outcome in interface.NEVER_EXECUTED
-                and self.loop.now() + RESTORE_RETRY_PAUSE < client.restore_deadline
-            ):
-                self.loop.after(RESTORE_RETRY_PAUSE, lambda: self.dial_restored(client))
-            else:
-                self.fail_restored(client)
+        if client.restored is not None:
+            client.restored.on_dial_ended(dial, ending)
             return
+        outcome = OUTCOMES[ending]
         self.handle_event(interface.DialEnded(client.session_id, dial.server, outcome, False, None))
 
     def on_client_ended(self, client: Client, ending: Ending) -> None:
@@ -383,7 +364,7 @@
         elif self.remove_session(client.session_id) is not None:
             self.log("left", sess=client.session_id, ending=ending.name)
             self.handle_event(interface.SessionLeft(client.session_id))
-            server = client.restored_server  # of a restored session, also between two attempts
+            server = -1 if client.restored is None else client.restored.server  # also between two dials
             if dial is not None:
                 server = dial.server
                 dial.finish(ending)
--- a/thymedeck/policy/balancer.py
+++ b/thymedeck/policy/balancer.py
@@ -52,6 +52,7 @@
     TimerFired,
 )
 from .candidates import AgeStage, Candidates, ColdGroup, Group
+from .repeats import repeat_deadline
 from .server import (
     FADE_TIME,
     LEARNED_CAPS_LIMIT,
@@ -541,12 +542,9 @@
         if session.possible_executor is None:
             return True
         listener = self.deployment.listeners[session.listener]
-        if listener.effect is Effect.IDEMPOTENT:
-            return True
-        if listener.effect is Effect.AT_MOST_ONCE:
-            return False
         # The line is sent within the connect timeout.
-        return self.now + self.deployment.connect_timeout - session.possibly_ran_at <= listener.dedup_window
+        sent_by = self.now + self.deployment.connect_timeout
+        return sent_by <= repeat_deadline(listener, session.possibly_ran_at)
 
     def count_errors(self, session: Session) -> None:
         """Counts the errors that servers answered this session with as their failures."""
