At a stop, put MOVE in the place of a line that has been held too long

Cause: an unfinished line is held for up to 0.9 s and then passed on, also while the process stops. MOVE cannot follow part of a line, and the moves begin only in the last second of the stop.

Evidence: `cut_off` with moving true, unfinished over 0, unsent 0; the client's last bytes are `reading 17 21`.

Change: while the process stops, a hold that ends without the line's end makes MOVE take the line's place (net/held_lines.py). Holds end after 0.8 to 0.9 s, before 0.4 to 0.9 s, so that a hang up to 0.8 s before SIGTERM is covered too.

--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -107,19 +107,25 @@
 }
 
 
-def establish_session(
-    lengths: list[int], pieces: list[Piece]
-) -> tuple[VirtualTestbed, StreamingServer, StreamClient]:
-    settings = deployment_settings(1, ["m1"], ["a"])
-    settings["extra"]["message_aim_us"] = [10_000_000] * len(settings["listeners"])
-    testbed = VirtualTestbed(1, settings)
-    server = testbed.servers["s0"] = StreamingServer(testbed, lengths, pieces)
+def start_session(deployment: dict, server_type: Callable[[VirtualTestbed], Server]) -> tuple:
+    """Returns the testbed of one balancer and one server, and a client that opens a session."""
+    testbed = VirtualTestbed(1, deployment)
+    testbed.servers["s0"] = server = server_type(testbed)
     testbed.open_server(server)
     testbed.list_service.update_servers(ListedServer("s0"))
     testbed.known_servers = [ListedServer("s0")]
     testbed.start("b0")
     assert testbed.run_until(lambda: testbed.list_service.watches, 10 * SECOND)
-    return testbed, server, StreamClient(testbed)
+    return testbed, StreamClient(testbed)
+
+
+def establish_session(
+    lengths: list[int], pieces: list[Piece]
+) -> tuple[VirtualTestbed, StreamingServer, StreamClient]:
+    deployment = deployment_settings(1, ["m1"], ["a"])
+    deployment["extra"]["message_aim_us"] = [10_000_000] * len(deployment["listeners"])
+    testbed, client = start_session(deployment, lambda testbed: StreamingServer(testbed, lengths, pieces))
+    return testbed, testbed.servers["s0"], client
 
 
 def play(lengths: list[int], pieces: list[Piece], end: Callable, after: int) -> None:
@@ -163,6 +169,71 @@
     play([50, 81, 90, 67, 73], [Piece(1448, 50 * MS)], end, 0)
 
 
+class Interruption(Struct, frozen=True):
+    """What the server does after it has begun a line."""
+
+    kind: str  # it hangs, ends, resets the connection, or goes on with the line
+    after: int
+
+
+class InterruptedServer(Server):
+    """Sends whole lines, then part of a line, then what its interruption says."""
+
+    def __init__(self, testbed: VirtualTestbed) -> None:
+        super().__init__(testbed.loop, testbed.record, "s0")
+
+    def begin_line(self, part: bytes, interruption: Interruption) -> None:
+        self.send(b"reading 16 21.0\r\n" + part)
+        self.loop.after(interruption.after, lambda: self.interrupt(interruption.kind))
+
+    def send(self, data: bytes) -> None:
+        for connection in self.connections:
+            connection.write(data)
+
+    def interrupt(self, kind: str) -> None:
+        if kind == "goes on":
+            self.send(b".4\r\n")
+        elif kind != "hangs":
+            for connection in list(self.connections):
+                connection.close(reset=kind == "resets")
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(
+    deadline_ms=st.sampled_from([150, 400, 1_000, 2_000, 3_000]),
+    begins=st.integers(-800 * MS, EXIT_WITHIN),
+    part=st.binary(min_size=1, max_size=4_000).map(lambda data: data.replace(b"\n", b"x")),
+    interruption=st.builds(
+        Interruption,
+        kind=st.sampled_from(["hangs", "hangs", "ends", "resets", "goes on"]),
+        after=st.integers(0, 3 * SECOND),
+    ),
+)
+def test_a_server_that_stops_within_a_line_around_a_restart(
+    deadline_ms: int, begins: int, part: bytes, interruption: Interruption
+) -> None:
+    """Guards against sessions cut off without MOVE because half a line was passed on (review case 8).
+
+    A line begun more than 0.8 s before SIGTERM has been passed on in part, as no line may be held for longer.
+    """
+    deployment = deployment_settings(1, ["m1"], ["a"])
+    for listener in deployment["listeners"]:
+        listener["deadline_us"] = deadline_ms * 1_000
+    testbed, client = start_session(deployment, InterruptedServer)
+    assert testbed.run_until(lambda: client.lines, SECOND)
+    testbed.loop.after(
+        SECOND + begins, lambda: testbed.servers["s0"].begin_line(b"reading 17 " + part, interruption)
+    )
+    testbed.run(SECOND)
+    testbed.stop("b0")
+    sigkill_after = deadline_ms * MS + 700 * MS
+    assert testbed.run_until(lambda: client.ending, sigkill_after), "still there at SIGKILL"
+    lines = [line for _, line in client.lines]
+    assert client.ending == "end" and lines[-1] == b"MOVE" and not client.partial_line, (client.ending, lines)
+    whole = [b"reading 16 21.0", b"reading 17 " + part + b".4"]
+    assert all(line in whole for line in lines[2:-1]), lines
+
+
 def test_an_overlong_line_is_not_held() -> None:
     """Guards against a buffer that fills with a held line, so that neither side is read or written."""
     testbed, _, client = establish_session([100_000], [Piece(1000, 1 * MS)])
--- a/thymedeck/net/servers.py
+++ b/thymedeck/net/servers.py
@@ -155,7 +155,7 @@
     def hold_unfinished_line(self, length: int) -> None:
         """Holds back a line that has only begun to arrive, so that MOVE can take its place at any time.
 
-        The service releases a line that has been held for too long.
+        `HeldLines` ends the hold of a line that does not end in time.
         """
         if length > MAX_LINE_LENGTH:
             self.is_line_released = True
@@ -164,7 +164,7 @@
             return
         if not self.inbound.held:
             self.held_since = self.loop.now()
-            self.service.holding_dials[self] = None
+            self.service.held_lines.add(self)
         self.inbound.held = length
 
     def release_line(self) -> None:
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -29,6 +29,7 @@
     server_address,
 )
 from .endings import OUTCOMES, Ending
+from .held_lines import HeldLines
 from .lines import is_printable_word
 from .log import EventLog
 from .loop import DIAL_RESERVE, EventLoop
@@ -48,7 +49,6 @@
 MAX_LOAD = 1e12  # reported loads from here on are ignored, clients' hints from here on are malformed
 DRAIN_SPREAD = SECOND  # time over which the sessions of a draining server are moved
 CHECK_INTERVAL = SECOND // 2  # between checks of the established sessions of each server
-MAX_HOLD_TIME = SECOND * 9 // 10  # for the unfinished line of a server; a line may be held for a second
 LIST_BATCH = 256  # list entries passed to the policy in one loop iteration
 LONG_ITERATION = SECOND // 10  # logged from this duration on, as all other work waits meanwhile
 LONG_DECISION = SECOND // 20  # likewise for a single decision
@@ -98,7 +98,7 @@
         # Listed servers not yet passed to the policy.
         self.pending_updates: dict[int, tuple[ServerListEntry | None, interface.ListKind]] = {}
         self.active_servers: dict[int, KnownServer] = {}  # with sessions or with delays yet to be reported
-        self.holding_dials: dict[DialConnection, None] = {}  # those that may hold an unfinished line
+        self.held_lines = HeldLines(self.loop)
         self.sessions: dict[int, Client] = {}
         self.open_identifiers: set[bytes] = set()  # the ids that the clients gave these sessions
         self.connections: dict[Client, None] = {}  # all open client connections, oldest first
@@ -416,7 +416,6 @@
         if self.loop.longest_iteration >= LONG_ITERATION:
             self.log("long_turn", took=self.loop.longest_iteration)
         self.loop.longest_iteration = 0
-        self.release_held_lines()
         now = self.loop.now()
         for index, server in list(self.active_servers.items()):
             if not (server.sessions or server.delays):
@@ -446,16 +445,6 @@
                     self.log("silent", sess=client.session_id, server=index)
                     client.move()
 
-    def release_held_lines(self) -> None:
-        """Passes on the unfinished lines that would be held for too long by the next check."""
-        latest = self.loop.now() + CHECK_INTERVAL - MAX_HOLD_TIME
-        for dial in list(self.holding_dials):
-            if dial.is_open and dial.inbound.held:
-                if dial.held_since > latest:
-                    continue
-                dial.release_line()
-            del self.holding_dials[dial]
-
     # The server list
 
     def on_list(self, server_list: ServerList) -> None:
@@ -637,7 +626,7 @@
         """Shuts down gracefully: accepts for a while longer, answers all, moves all sessions, then exits."""
         if self.is_stopping:
             return
-        self.is_stopping = True
+        self.is_stopping = self.held_lines.are_clients_leaving = True
         self.is_ready = False
         longest = max(listener.dial_timeout for listener in self.deployment.listeners)
         self.stop_deadline = self.loop.now() + min(longest, MAX_STOP_WAIT) + 7_000 - STOP_RESERVE
