Keep late requests for the list open beside the next ones, and use the first answer

Cause: ANSWER_TIMEOUT was both the time after which the next request has to go out and the time until which an answer counts. 2 s is how long the service lets a call wait in its queue; the way there and back comes on top.

Evidence: `list_asked`, 2.0 s later `list_failed` "no answer", over and over, and no `list_taken` after the saved list.

Change: a late request stays open, pushed or asked for, watches too; the first answer counts and closes the others (net/late_requests.py). A dial that finds no descriptor takes one. The pace of requests is as before.

--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -27,7 +27,8 @@
     backlog_full A, backlog_full list
                              connections to that server, or to discovery, are no longer established
     server N sends_filler    sends lines until no more are accepted; `client N reads_filler` reads them
-    list earlier STEP        the step, on the connection before the latest
+    list earlier STEP, list first STEP
+                             the step, on the connection before the latest, or on the first one
     list floods HEAD BYTES   sends HEAD, then this many bytes as fast as accepted, until it is cut off
     list says_indented N KIND A:STATE
                              like `list says`, with over 8 kB of indentation
@@ -417,6 +418,11 @@
             latest = self.list_calls.pop()
             self.on_list(*text.split(maxsplit=1))
             self.list_calls.append(latest)
+        elif verb == "first":
+            later = self.list_calls[1:]
+            del self.list_calls[1:]
+            self.on_list(*text.split(maxsplit=1))
+            self.list_calls += later
         elif verb == "readable":
             self.wait_readable(self.service.list_client.connection)
         elif verb == "says_indented":
--- a/tests/list_calls.py
+++ b/tests/list_calls.py
@@ -21,6 +21,7 @@
 
 MAX_DURATION = 70 * SECOND
 SLOW_ANSWER = 15_000
+SLOWER_ANSWER = 25_000  # longer than the balancers wait before they ask again
 
 
 class FleetResult(Struct):
@@ -99,6 +100,12 @@
     testbed.list_service.answer_delay = SLOW_ANSWER
 
 
+def slower(testbed: VirtualTestbed) -> None:
+    """The same after 2.5 s."""
+    reset(testbed)
+    testbed.list_service.answer_delay = SLOWER_ANSWER
+
+
 def crowded(testbed: VirtualTestbed) -> None:
     """All watches are reset at once, and the service lets calls wait for as long as 2 s before it refuses."""
     reset(testbed)
@@ -106,7 +113,7 @@
 
 
 FLEET_FAILURES: tuple[Callable[[VirtualTestbed], None], ...] = (restarted, reset, down, silent, moved)
-SLOW_FAILURES: tuple[Callable[[VirtualTestbed], None], ...] = (slow, crowded)
+SLOW_FAILURES: tuple[Callable[[VirtualTestbed], None], ...] = (slow, slower, crowded)
 
 
 def run_with_failure(testbed: VirtualTestbed, failure: Callable[[VirtualTestbed], None]) -> FleetResult:
--- a/tests/list_paths.py
+++ b/tests/list_paths.py
@@ -27,6 +27,8 @@
 DELIVERY_LIMIT = 6 * SECOND  # promised to the operators
 # The slowest answer for which DELIVERY_LIMIT holds; the rest of the 6 s is for what the balancer does itself.
 SLOWEST_ANSWER = 19_000
+# The slowest answer that is heard in that time and its own, whatever has failed before.
+SLOWEST_HEARD = 6 * SECOND
 # A silent watch has this long after its wait, if that is later than DELIVERY_LIMIT. It includes a second for
 # the answer, so that an answer slower than QUICK_ANSWER extends it.
 SILENCE_LIMIT = 2 * SECOND
--- a/tests/test_list_within.py
+++ b/tests/test_list_within.py
@@ -6,8 +6,19 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from .list_calls import FLEET_FAILURES, crowded, new_fleet, run_with_failure, silent, slow
-from .list_paths import FAILURES, SECOND, SLOWEST_ANSWER, Play
+from thymedeck.net.late_requests import MAX_LATE_REQUESTS
+
+from .list_calls import (
+    FLEET_FAILURES,
+    SLOWER_ANSWER,
+    crowded,
+    new_fleet,
+    run_with_failure,
+    silent,
+    slow,
+    slower,
+)
+from .list_paths import FAILURES, SECOND, SLOWEST_ANSWER, SLOWEST_HEARD, Play
 
 SITES = {
     "discovery": st.sampled_from(["on_request", "pushed"]),
@@ -17,7 +28,7 @@
     "drain_grace_us": st.one_of(st.sampled_from([0, 1_500_000, 120_000_000]), st.integers(0, 60_000_000)),
     "replicas": st.integers(1, 420),
     "seed": st.integers(0, 1 << 30),
-    "answer_duration": st.integers(0, SLOWEST_ANSWER),
+    "answer_duration": st.one_of(st.integers(0, SLOWEST_ANSWER), st.integers(0, SLOWEST_HEARD)),
 }
 SCRIPTS = st.lists(
     st.tuples(st.sampled_from(["served", "served", "served", *FAILURES]), st.floats(0, 1)), max_size=6
@@ -26,7 +37,7 @@
 SITE = {"discovery": "on_request", "drain_grace_us": 2_000_000, "seed": 1, "answer_duration": SLOWEST_ANSWER}
 
 
-@settings(max_examples=150, deadline=None, derandomize=True)
+@settings(max_examples=250, deadline=None, derandomize=True)
 @given(script=SCRIPTS, site=st.fixed_dictionaries(SITES))
 def test_the_list_arrives_in_time_after_any_series_of_failures(script: list, site: dict) -> None:
     play = Play(script, **site).run()
@@ -59,6 +70,42 @@
             )
 
 
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(
+    script=st.lists(
+        st.tuples(st.sampled_from(["refused", "reset", "503", "spoilt"]), st.just(0.0)), max_size=4
+    ),
+    site=st.fixed_dictionaries(SITES | {"answer_duration": st.integers(SLOWEST_ANSWER, 30 * SECOND)}),
+)
+def test_a_service_is_heard_however_slow_it_is(script: list, site: dict) -> None:
+    """Guards against calls that are given up before the service answers, each time anew (review case 7)."""
+    play = Play(script, **site).run()
+    assert play.received_at and play.received_at <= play.due, (play.world.now() - play.available_since, site)
+
+
+@pytest.mark.parametrize("drain_grace", [0.4, 2.0, 10.0])
+@pytest.mark.parametrize("discovery", ["on_request", "pushed"])
+def test_a_service_slower_than_the_timeout_is_heard_by_all_and_asked_no_more_than_needed(
+    discovery: str, drain_grace: float
+) -> None:
+    """Guards against retries that go on while a slow service answers (review case 7)."""
+    fleet = new_fleet(40, 0, 0, 10, seed=1, discovery=discovery, drain_grace=drain_grace)
+    result = run_with_failure(fleet, slower)
+    assert len(result.received_at) == 40 and result.received_at[-1] <= 3.8 * SECOND + SLOWER_ANSWER, result
+    calls_a_second = 1 / min(drain_grace / 2, 2)  # a call that hangs is followed by another after this time
+    slow_seconds = (result.received_at[-1] + SLOWER_ANSWER) / SECOND
+    assert result.calls <= 40 * (1 + slow_seconds * calls_a_second) and result.refused == 0, result
+
+
+def test_requests_to_a_silent_service_are_limited() -> None:
+    """Guards against connections that pile up at a service which never answers."""
+    for discovery, drain_grace in (("on_request", 2.0), ("pushed", 2.0), ("pushed", 0.4)):
+        fleet = new_fleet(1, 0, 0, 10, seed=1, discovery=discovery, drain_grace=drain_grace)
+        fleet.list_service.answer_delay = 1 << 40
+        fleet.run(60 * SECOND)
+        assert len(fleet.services["b0"].list_client.late_requests.connections) == MAX_LATE_REQUESTS
+
+
 @pytest.mark.parametrize("discovery", ["on_request", "pushed"])
 def test_a_service_whose_connections_come_up_late_is_heard(discovery: str) -> None:
     """Guards against connections that are given up while they come up, each time anew."""
--- a/thymedeck/net/list_connection.py
+++ b/thymedeck/net/list_connection.py
@@ -14,7 +14,8 @@
     from .serverlist import ListClient
 
 CONNECT_TIMEOUT = 10_000
-ANSWER_TIMEOUT = 20_000  # for a request without wait, and for the rest of an answer that has begun
+# For a request without wait, and for the rest of an answer that has begun, until the next request is made.
+ANSWER_TIMEOUT = 20_000
 # If a reused connection ends this soon after a request, the service had closed it before the request arrived.
 STALE_CONNECTION_WINDOW = 500
 MAX_ANSWER_SIZE = 8 << 20
@@ -42,7 +43,6 @@
         self.is_head_complete = False
         self.has_length = False  # the head tells where the body ends
         self.wait = wait
-        self.is_late = False  # the next request is due or out already
         self.started_at = self.asked_at = self.loop.now()
         if not self.connecting:
             self.start_answer_timer()
@@ -55,18 +55,12 @@
             self.flush()
 
     def start_answer_timer(self) -> None:
+        if self in self.list_client.late_requests:
+            return  # the next request is due or out already
         self.asked_at = self.loop.now()
         self.timer.cancel()
         self.timer = self.loop.after(self.list_client.request_timeout(self.wait), self.on_timeout)
 
-    def await_late_answer(self) -> None:
-        """Goes on waiting until ANSWER_TIMEOUT has passed since the request was sent."""
-        self.is_late = True
-        self.timer = self.loop.after(self.asked_at + ANSWER_TIMEOUT - self.loop.now(), self.on_late_timeout)
-
-    def on_late_timeout(self) -> None:
-        self.fail("no answer")
-
     @property
     def pending_duration(self) -> int:
         """For how long the balancer may have missed changes; 0 for a watch that was served until it broke.
@@ -77,8 +71,7 @@
         return pending_duration if pending_duration < ANSWER_TIMEOUT or not self.wait else 0
 
     def on_connected(self) -> None:
-        if not self.is_late:
-            self.start_answer_timer()
+        self.start_answer_timer()
 
     def read(self) -> bool:
         """Reads all available data, so that no session is placed by the old list between parts of the new."""
@@ -138,20 +131,21 @@
         self.fail("broken")
 
     def on_timeout(self) -> None:
-        if self.wait and not self.connecting:
-            self.close()
-            self.list_client.on_watch_silent(self)
-        elif not self.list_client.keep_late(self):
-            self.fail("no answer")
+        self.list_client.on_late(self)
 
-    def fail(self, reason: str) -> None:
+    def drop(self) -> None:
+        """Closes the connection; the request is neither answered nor failed."""
         self.timer.cancel()
         self.close()
+
+    def fail(self, reason: str) -> None:
+        self.drop()
         if self.is_complete:
             return
-        if not self.has_received and self.loop.now() < self.stale_until:
-            # The service closed the idle connection while the request was on its way: this is no failure.
-            self.list_client.retry(self, self.wait)
+        is_stale = not self.has_received and self.loop.now() < self.stale_until
+        if is_stale and self.list_client.connection is self:
+            # The service had closed the idle connection before the request arrived: this is no failure.
+            self.list_client.repeat_request()
         else:
             self.list_client.on_request_failed(self, reason)
 
--- a/thymedeck/net/serverlist.py
+++ b/thymedeck/net/serverlist.py
@@ -1,8 +1,8 @@
 """Client of the list service: decides what is requested when, and watches the list by long polling.
 
-A watch lasts as long as each answer is followed by the next request in time. A request without wait that is
-not answered soon is followed by another one, and its answer still counts if it is the first to arrive. Times
-are whole tenths of a millisecond.
+A watch lasts as long as each answer is followed by the next request in time. A request that is not answered
+in time is followed by another one, and its answer still counts if it is the first to arrive. Times are whole
+tenths of a millisecond.
 """
 
 from typing import TYPE_CHECKING
@@ -11,6 +11,7 @@
 
 from .. import interface
 from .config_file import DECODE_ERRORS, ServerList
+from .late_requests import LateRequests
 from .list_connection import ANSWER_TIMEOUT, ListConnection
 from .loop import DIAL_RESERVE
 
@@ -18,7 +19,7 @@
     from .service import Service
 
 PATH = "/registry/instances"
-# A silent watch is given up this long after its wait: changes that it misses count as delivered 2 s after it.
+# A watch is silent this long after its wait: changes that it misses count as delivered 2 s after the wait.
 WATCH_TIMEOUT_MARGIN = 10_000
 MAX_WATCH_WAIT = 600_000
 CROWDED_REFUSAL_TIME = 5_000  # a refusal that takes this long tells of a queue at the service
@@ -47,7 +48,7 @@
         )
         self.version = version
         self.connection: ListConnection | None = None  # of the latest request
-        self.late_connection: ListConnection | None = None  # of an earlier one whose answer is still awaited
+        self.late_requests = LateRequests()  # earlier ones
         self.refusals = 0  # requests in a row that were refused after CROWDED_REFUSAL_TIME
         self.is_started = False
         self.is_scheduled = False  # the pending request was scheduled by the policy, with jitter
@@ -83,7 +84,7 @@
         self.connection.send_request(target, host, wait)
 
     def on_answer(self, connection: ListConnection, status: int, body: bytes, can_reuse: bool) -> None:
-        if connection not in (self.connection, self.late_connection):
+        if connection is not self.connection and connection not in self.late_requests:
             return
         if status != 200:
             is_crowded = self.service.loop.now() - connection.asked_at >= CROWDED_REFUSAL_TIME
@@ -107,36 +108,33 @@
         self.send_request(self.wait)
         self.service.on_list(server_list)
 
-    def keep_late(self, connection: ListConnection) -> bool:
-        """Requests the list anew, as the answer is late, but keeps waiting for that answer too.
+    def on_late(self, connection: ListConnection) -> None:
+        """The answer is late: makes the next request, and keeps waiting for that answer too.
 
-        A slow service would otherwise never be heard: each new request starts at the end of its queue. At
-        most one late request is kept; returns whether this one is.
+        A slow service would otherwise never be heard, as each new request starts at the end of its queue.
         """
-        is_last_wait = connection.asked_at + ANSWER_TIMEOUT <= self.service.loop.now()
-        has_descriptor = self.service.loop.free_descriptors > DIAL_RESERVE
-        if self.late_connection is not None or connection.wait or is_last_wait or not has_descriptor:
-            return False
-        self.late_connection, self.connection = connection, None
-        connection.await_late_answer()
-        self.schedule_next("no answer", connection.pending_duration)
-        return True
+        if self.service.loop.free_descriptors <= DIAL_RESERVE:
+            connection.drop()
+        else:
+            self.late_requests.add(connection)
+        self.connection = None
+        if connection.wait and not connection.connecting:
+            # The protocol requires that a silent watch is opened again at once.
+            self.service.log("list_silent", version=self.version, wait=connection.wait // 10)
+            self.send_request(0)
+        else:
+            self.schedule_next("no answer", connection.pending_duration)
 
     def keep_only(self, connection: ListConnection) -> None:
-        """Drops the request that is not on this connection, which has been answered first."""
-        if connection is self.late_connection:
+        """Drops all requests but the one on this connection, which has been answered first."""
+        if connection in self.late_requests:
             self.service.log("list_late", took=self.service.loop.now() - connection.asked_at)
-            self.drop(self.connection)
+            self.late_requests.remove(connection)
+            if self.connection is not None:
+                self.connection.drop()
+            self.connection = connection
             self.is_started = True
-        else:
-            self.drop(self.late_connection)
-        self.connection, self.late_connection = connection, None
-
-    @staticmethod
-    def drop(connection: ListConnection | None) -> None:
-        if connection is not None:
-            connection.timer.cancel()
-            connection.close()
+        self.late_requests.drop_all()
 
     def request_timeout(self, wait: int) -> int:
         """How long after a request with this wait the next one is made, if it is not answered.
@@ -152,27 +150,23 @@
         """How many times the pace of requests is halved, as the service is crowded."""
         return min(max(self.refusals - QUICK_RETRIES, 0), MAX_BACKOFF)
 
-    def on_watch_silent(self, connection: ListConnection) -> None:
-        """Opens a silent watch again at once, as the protocol requires."""
-        self.service.log("list_silent", version=self.version, wait=connection.wait // 10)
-        self.retry(connection, 0)
-
-    def retry(self, connection: ListConnection, wait: int) -> None:
-        if connection is self.connection:
-            self.connection = None
-            self.send_request(wait)
+    def repeat_request(self) -> None:
+        """Sends the latest request again, on a new connection."""
+        wait, self.connection = self.connection.wait, None
+        self.send_request(wait)
 
     def on_request_failed(self, connection: ListConnection, reason: str) -> None:
         if connection is self.connection:
             self.fail(reason)
-        elif connection is self.late_connection:
+        elif connection in self.late_requests:
             # The next request is under way or scheduled already.
-            self.drop(connection)
-            self.late_connection = None
+            self.late_requests.drop(connection)
 
     def fail(self, reason: str) -> None:
-        pending_duration = 0 if self.connection is None else self.connection.pending_duration
-        self.drop(self.connection)
+        pending_duration = 0
+        if self.connection is not None:
+            pending_duration = self.connection.pending_duration
+            self.connection.drop()
         self.connection = None
         self.schedule_next(reason, pending_duration)
 
@@ -183,6 +177,7 @@
 
     def close(self) -> None:
         """Drops all requests."""
-        self.drop(self.connection)
-        self.drop(self.late_connection)
-        self.connection = self.late_connection = None
+        if self.connection is not None:
+            self.connection.drop()
+        self.connection = None
+        self.late_requests.drop_all()
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -308,6 +308,8 @@
         if client.is_finished:
             return False
         self.evict_clients(DIAL_RESERVE)
+        while self.loop.free_descriptors <= DIAL_RESERVE and self.list_client.late_requests.drop_latest():
+            pass
         if self.loop.free_descriptors <= DIAL_RESERVE:
             # Dials must not exceed the descriptor limit, and leave one for the list request.
             self.log("no_sockets", why="sessions hold all")
