--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -11,6 +11,7 @@
 from thymedeck.net.loop import EventLoop
 from thymedeck.net.serverlist import decode_list
 from thymedeck.net.service import Service
+from thymedeck.net.shutdown import Shutdown
 from thymedeck.net.system import System
 
 GOOD = '{"id":"good","addr":"127.0.0.1:9"}'
@@ -61,13 +62,14 @@
     service = object.__new__(Service)
     service.loop = EventLoop(lambda error: pytest.fail(str(error)), 1024, System())
     service.evictable, service.sessions, service.connections, service.is_evicting = {}, {}, {}, False
-    service.stop_deadline = service.loop.now() + 30_000
+    service.shutdown = Shutdown(service)
+    service.shutdown.deadline = service.loop.now() + 30_000
     service.log = lambda *_, **__: None
     service.acceptor = Acceptor(service, ("127.0.0.1", 0))
     count = 2 * ACCEPT_BATCH + 1
     waiting = [socket.create_connection(service.acceptor.sock.getsockname()) for _ in range(count)]
     try:
-        service.stop_accepting()
+        service.shutdown.stop_accepting()
         assert len(service.evictable) == count
     finally:
         for client in list(service.evictable):
--- a/thymedeck/net/held_lines.py
+++ b/thymedeck/net/held_lines.py
@@ -5,10 +5,9 @@
 
 from typing import TYPE_CHECKING
 
-from .loop import EventLoop
-
 if TYPE_CHECKING:
     from .servers import DialConnection
+    from .service import Service
 
 MAX_HOLD_TIME = 9_000  # the protocol allows a second
 CHECK_INTERVAL = 1_000
@@ -21,10 +20,10 @@
     follow part of a line.
     """
 
-    def __init__(self, loop: EventLoop) -> None:
-        self.loop = loop
+    def __init__(self, service: "Service") -> None:
+        self.service = service
+        self.loop = service.loop
         self.dials: dict[DialConnection, None] = {}  # those that may hold an unfinished line
-        self.are_clients_leaving = False  # all clients have to move, as the process stops
 
     def add(self, dial: "DialConnection") -> None:
         if not self.dials:
@@ -45,7 +44,7 @@
 
     def end_hold(self, dial: "DialConnection") -> None:
         has_client_ended = dial.client.received_eof
-        if self.are_clients_leaving and not has_client_ended:
+        if self.service.shutdown.has_begun and not has_client_ended:
             dial.client.move(at_once=True)
         else:
             dial.release_line()
--- a/thymedeck/net/restored.py
+++ b/thymedeck/net/restored.py
@@ -62,7 +62,7 @@
 
     def reason_against_dial(self, time: int) -> Reason | None:
         """Returns what forbids a dial at this time, or None."""
-        if self.service.is_closing or time >= self.deadline:
+        if self.service.shutdown.is_closing or time >= self.deadline:
             return Reason.DEADLINE
         return Reason.MAY_HAVE_RUN if time >= self.line_due() else None
 
--- a/thymedeck/net/servers.py
+++ b/thymedeck/net/servers.py
@@ -124,7 +124,7 @@
         self.service.on_dial_established(self, self.loop.now() - self.started_at)
         if self.is_open:
             self.inspect_lines(self.inbound.used)
-            if self.service.moves_new_sessions:
+            if self.service.shutdown.moves_new_sessions:
                 self.client.move()
             self.client.flush()
 
--- a/thymedeck/net/service.py
+++ b/thymedeck/net/service.py
@@ -36,6 +36,7 @@
 from .restored import RestoredSession
 from .serverlist import ListClient
 from .servers import DialConnection, KnownServer
+from .shutdown import Shutdown
 from .signals import SignalReceiver
 from .system import System
 
@@ -57,11 +58,6 @@
 UNRESPONSIVE_SILENCE_TIMEOUT = SECOND  # the same for a server that has not answered anyone lately
 # With this many unanswered lines and no recent answer, the server is at fault rather than the connections.
 MIN_UNANSWERED = 3
-ACCEPT_AFTER_STOP = 5_000  # the front end keeps sending clients for a while after the stop signal
-MAX_STOP_WAIT = 3 * SECOND
-STOP_RESERVE = 3_000  # the process exits this long before it would be killed
-STOP_MOVE_SPREAD = SECOND  # time over which all established sessions are moved at shutdown
-ANSWER_RESERVE = 5_000  # time after that for pending answers and unfinished lines
 
 
 def descriptor_limit(config: BalancerConfig) -> int:
@@ -98,7 +94,7 @@
         # Listed servers not yet passed to the policy.
         self.pending_updates: dict[int, tuple[ServerListEntry | None, interface.ListKind]] = {}
         self.active_servers: dict[int, KnownServer] = {}  # with sessions or with delays yet to be reported
-        self.held_lines = HeldLines(self.loop)
+        self.held_lines = HeldLines(self)
         self.sessions: dict[int, Client] = {}
         self.open_identifiers: set[bytes] = set()  # the ids that the clients gave these sessions
         self.connections: dict[Client, None] = {}  # all open client connections, oldest first
@@ -110,9 +106,7 @@
         self.events: deque[interface.Event] = deque()
         self.is_dispatching = False
         self.is_ready = False
-        self.is_stopping = False
-        self.moves_new_sessions = False  # at shutdown: sessions are moved as soon as they are established
-        self.is_closing = False  # at shutdown: nothing is dialled any more, final answers only
+        self.shutdown = Shutdown(self)
         self.acceptor: Acceptor | None = None
         # Without a list in the configuration an empty one starts the requests for it.
         known = config.known or ServerList(version=-1)
@@ -273,7 +267,8 @@
         connect_timeout = self.deployment.connect_timeout
         # The decision itself took time; no dial may outlast the client's deadline.
         limit = min(action.limit, client.answer_deadline - self.loop.now()) if client is not None else 0
-        if limit <= 0 or self.is_closing or not self.start_dial(client, server, connect_timeout, limit):
+        is_allowed = limit > 0 and not self.shutdown.is_closing
+        if not (is_allowed and self.start_dial(client, server, connect_timeout, limit)):
             gone = session_id not in self.sessions
             self.handle_event(interface.DialEnded(session_id, server, OUTCOMES[Ending.NO_SOCKET], gone, None))
 
@@ -606,7 +601,7 @@
 
     def reload(self) -> None:
         """Reads the configuration file again; sessions and known servers stay. Settings need a restart."""
-        if self.is_stopping:
+        if self.shutdown.has_begun:
             return
         try:
             config, discovery = reread_config(self.config_path)
@@ -622,61 +617,12 @@
         for callback in self.on_reload:
             callback()
 
-    # Graceful shutdown
+    # Shutdown
 
     def stop(self) -> None:
-        """Shuts down gracefully: accepts for a while longer, answers all, moves all sessions, then exits."""
-        if self.is_stopping:
-            return
-        self.is_stopping = self.held_lines.are_clients_leaving = True
+        """Shuts down gracefully; later calls do nothing."""
         self.is_ready = False
-        longest = max(listener.dial_timeout for listener in self.deployment.listeners)
-        self.stop_deadline = self.loop.now() + min(longest, MAX_STOP_WAIT) + 7_000 - STOP_RESERVE
-        self.log("stopping", sessions=len(self.sessions))
-        self.loop.after(ACCEPT_AFTER_STOP, self.stop_accepting)
-
-    def stop_accepting(self) -> None:
-        if self.acceptor is not None:
-            # Closing the listener resets connections left in the backlog, which may exceed one batch.
-            while self.acceptor.accept_batch():
-                pass
-            self.acceptor.close()
-        self.log("leaving", sessions=len(self.sessions))
-        rest = max(self.stop_deadline - self.loop.now() - ANSWER_RESERVE, 0)
-        self.loop.after(max(rest - STOP_MOVE_SPREAD, 0), lambda: self.move_all(min(rest, STOP_MOVE_SPREAD)))
-        self.loop.after(rest, self.answer_remaining)
-        self.stop_when_empty()
-
-    def move_all(self, span: int) -> None:
-        """Runs as late as possible: another balancer may be restarting and not be able to take them yet."""
-        clients = [client for client in self.sessions.values() if client.is_established]
-        self.log("moving", sessions=len(clients))
-        self.moves_new_sessions = True
-        self.move_spread(span, clients)
-
-    def answer_remaining(self) -> None:
-        """Ends what is pending: dials fail from here on, and the policy gives up their sessions."""
-        self.is_closing = True
-        for client in list(self.connections):
-            if client.is_established:
-                client.move(at_once=True)
-            elif client.dial is not None:
-                client.dial.on_time_limit()
-            elif client.session_id < 0:
-                client.answer(b"BUSY\r\n", Ending.STOPPED)
-
-    def stop_when_empty(self) -> None:
-        """Stops the loop once all clients are gone or the time is up.
-
-        Until then last bytes may still have to be sent, and OPEN lines may still be arriving.
-        """
-        if self.connections and self.loop.now() < self.stop_deadline:
-            self.loop.after(200, self.stop_when_empty)
-        else:
-            for client in self.sessions.values():
-                if client.is_established:
-                    self.log_cut_off(client)
-            self.loop.stop()
+        self.shutdown.begin()
 
     def log_cut_off(self, client: Client) -> None:
         """Logs that a session ends without MOVE, and what kept MOVE from being sent."""
--- a/thymedeck/peers/transport.py
+++ b/thymedeck/peers/transport.py
@@ -109,7 +109,7 @@
         """Gathers this balancer's own counts for its peers; its own decisions never depend on them."""
         self.loop.after(COUNT_INTERVAL, self.gather_counts)
         service, now = self.service, self.loop.now()
-        if service.is_stopping and not self.is_stopping:
+        if service.shutdown.has_begun and not self.is_stopping:
             self.is_stopping = True
             self.handle_event(ShutdownStarted())
         window = service.deployment.overload_window
@@ -134,7 +134,7 @@
                     by_server=servers[:max_listed],
                     unlisted=sum(count for _, count in servers[max_listed:]),
                     dials=service.dial_count - self.dial_counts[0][1],
-                    draining=service.is_stopping,
+                    draining=service.shutdown.has_begun,
                     list_version=service.list_client.version,
                 )
             )
