--- a/thymedeck/net/clients.py
+++ b/thymedeck/net/clients.py
@@ -238,6 +238,13 @@
         self.outbound.drop_last(unfinished)
         return self.outbound.append(b"MOVE\r\n")
 
+    def end_with_move(self, ending: Ending) -> bool:
+        """Asks the client to reconnect as its server has broken; returns whether MOVE could be sent."""
+        if not self.try_send_move():
+            return False
+        self.finish(ending, linger=True)
+        return True
+
     def on_move_timeout(self) -> None:
         self.complete_move()
         if not self.is_finished:
@@ -252,11 +259,9 @@
         """
         self.service.on_session_ended(self, ending)
         has_broken = ending is Ending.SERVER_ENDED and self.dial.line_splitter.partial_length > 0
-        if has_broken and not self.received_eof and self.try_send_move():
-            self.finish(ending, linger=True)
-            return
-        self.shutdown_write()
-        self.start_half_close()
+        if not (has_broken and not self.received_eof and self.end_with_move(ending)):
+            self.shutdown_write()
+            self.start_half_close()
 
     def start_half_close(self) -> None:
         """One direction has ended; the other may continue for a limited time."""
@@ -276,9 +281,7 @@
         """
         self.service.on_session_ended(self, ending)
         self.dial.close()
-        if ending is Ending.SERVER_BROKE and self.try_send_move():
-            self.finish(ending, linger=True)
-        else:
+        if not (ending is Ending.SERVER_BROKE and self.end_with_move(ending)):
             self.outbound.held = 0
             self.flush()
             self.close_both(reset=True)
