Use the whole window for the repeats of a session from before the start

A session with a reference whose dial was reset in the last 0.35 s of the window was given up, as the next dial would only start after the pause of 0.2 s and the line has to be sent 0.15 s before the end. The pause is now half of the time that is left, if that is shorter.

Result: server_resets_restored_session_late is dialled again at 0.8 s of a window of 1 s, where it was given up before; the test that repeats within the window leaves 0.15 s spare and 0.21 s for each repeat, where it left 1 s for each.

--- a/thymedeck/net/restored.py
+++ b/thymedeck/net/restored.py
@@ -52,13 +52,15 @@
         """Schedules another dial, or fails the session at once if none will be allowed."""
         if OUTCOMES[ending] not in NEVER_EXECUTED and self.first_execution is None:
             self.first_execution = dial.started_at
-        if reason := self.reason_against_dial(self.service.loop.now() + RETRY_PAUSE):
+        if reason := self.reason_against_dial(self.service.loop.now()):
             self.service.fail_restored(self, reason)
         else:
             self.retry_later()
 
     def retry_later(self) -> None:
-        self.service.loop.after(RETRY_PAUSE, self.dial)
+        """Schedules another dial; half of the time in which the line may be sent is left for connecting."""
+        time_left = self.line_due() - self.service.loop.now()
+        self.service.loop.after(int(min(RETRY_PAUSE, time_left / 2)), self.dial)
 
     def reason_against_dial(self, time: int) -> Reason | None:
         """Returns what forbids a dial at this time, or None."""
