List client: one place that drops the latest request; one set-up for the tests of slow services

Two tests of slow list services share their set-up now, their assertions are as they were. No behaviour changes.

--- a/tests/test_list_within.py
+++ b/tests/test_list_within.py
@@ -11,6 +11,7 @@
 from .list_calls import (
     FLEET_FAILURES,
     SLOWER_ANSWER,
+    FleetResult,
     crowded,
     new_fleet,
     run_with_failure,
@@ -83,16 +84,22 @@
     assert play.received_at and play.received_at <= play.due, (play.world.now() - play.available_since, site)
 
 
+def play_slow_service(failure: Callable, discovery: str, drain_grace: float) -> tuple[FleetResult, float]:
+    """Returns what 40 balancers saw, and how often one of them asks a service that does not answer."""
+    fleet = new_fleet(40, 0, 0, 10, seed=1, discovery=discovery, drain_grace=drain_grace)
+    # A call that hangs is followed by another after this time.
+    seconds_until_next = min(drain_grace / 2, 2)
+    return run_with_failure(fleet, failure), 1 / seconds_until_next
+
+
 @pytest.mark.parametrize("drain_grace", [0.4, 2.0, 10.0])
 @pytest.mark.parametrize("discovery", ["on_request", "pushed"])
 def test_a_service_slower_than_the_timeout_is_heard_by_all_and_asked_no_more_than_needed(
     discovery: str, drain_grace: float
 ) -> None:
     """Guards against retries that go on while a slow service answers (review case 7)."""
-    fleet = new_fleet(40, 0, 0, 10, seed=1, discovery=discovery, drain_grace=drain_grace)
-    result = run_with_failure(fleet, slower)
+    result, calls_a_second = play_slow_service(slower, discovery, drain_grace)
     assert len(result.received_at) == 40 and result.received_at[-1] <= 3.8 * SECOND + SLOWER_ANSWER, result
-    calls_a_second = 1 / min(drain_grace / 2, 2)  # a call that hangs is followed by another after this time
     slow_seconds = (result.received_at[-1] + SLOWER_ANSWER) / SECOND
     assert result.calls <= 40 * (1 + slow_seconds * calls_a_second) and result.refused == 0, result
 
@@ -131,9 +138,7 @@
     discovery: str, drain_grace: float
 ) -> None:
     """Guards against calls that are given up before a slow service answers, each time anew (review 3)."""
-    fleet = new_fleet(40, 0, 0, 10, seed=1, discovery=discovery, drain_grace=drain_grace)
-    result = run_with_failure(fleet, slow)
-    calls_a_second = 1 / min(drain_grace / 2, 2)  # a call that hangs is followed by another after this time
+    result, calls_a_second = play_slow_service(slow, discovery, drain_grace)
     assert len(result.received_at) == 40 and result.received_at[-1] <= 6 * SECOND, result
     assert result.calls <= 40 * (1 + 1.5 * calls_a_second) and result.refused == 0, result
 
--- a/thymedeck/net/late_requests.py
+++ b/thymedeck/net/late_requests.py
@@ -36,7 +36,7 @@
         self.connections.remove(connection)
 
     def drop(self, connection: "ListConnection") -> None:
-        self.connections.remove(connection)
+        self.remove(connection)
         connection.drop()
 
     def drop_latest(self) -> bool:
--- a/thymedeck/net/serverlist.py
+++ b/thymedeck/net/serverlist.py
@@ -130,8 +130,7 @@
         if connection in self.late_requests:
             self.service.log("list_late", took=self.service.loop.now() - connection.asked_at)
             self.late_requests.remove(connection)
-            if self.connection is not None:
-                self.connection.drop()
+            self.drop_connection()
             self.connection = connection
             self.is_started = True
         self.late_requests.drop_all()
@@ -163,11 +162,8 @@
             self.late_requests.drop(connection)
 
     def fail(self, reason: str) -> None:
-        pending_duration = 0
-        if self.connection is not None:
-            pending_duration = self.connection.pending_duration
-            self.connection.drop()
-        self.connection = None
+        pending_duration = 0 if self.connection is None else self.connection.pending_duration
+        self.drop_connection()
         self.schedule_next(reason, pending_duration)
 
     def schedule_next(self, reason: str, pending_duration: int) -> None:
@@ -177,7 +173,11 @@
 
     def close(self) -> None:
         """Drops all requests."""
+        self.drop_connection()
+        self.late_requests.drop_all()
+
+    def drop_connection(self) -> None:
+        """Drops the latest request."""
         if self.connection is not None:
             self.connection.drop()
         self.connection = None
-        self.late_requests.drop_all()
